--- /dev/null
+++ b/terndrift/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire: `codec` reads and writes its lines, `host` runs the instances."""
--- /dev/null
+++ b/terndrift/decide.py
@@ -0,0 +1,539 @@
+"""The decisions of a session front: which streamer sets a playback up, at which rung, or not at all.
+
+One `Controller` a front; a host calls its public methods with what it hears, each with the time in
+whole nanoseconds, and carries out what the playbacks handed back stand for. The calls, their results
+and the types handed in are described in `terndrift/interface.py`; docs/design.md tells why.
+"""
+
+import heapq
+import zlib
+from collections import deque
+from enum import Enum
+
+from .interface import Ending, Standing
+
+MS = 1_000_000
+SECOND = 1000 * MS
+
+
+class State(Enum):
+    HELD = 0  # taken, waiting for room
+    TRYING = 1  # one set-up is out
+    PLAYING = 2
+    MOVING = 3  # being taken off its streamer
+    REJECTED = 4
+    ABORTED = 5
+    ENDED = 6  # nothing more is owed
+
+
+FINAL = (State.REJECTED, State.ABORTED, State.ENDED)
+ROUTES = {  # the only changes of state there are
+    State.HELD: (State.TRYING, State.PLAYING, State.REJECTED, State.ABORTED, State.ENDED),
+    State.TRYING: (State.HELD, State.PLAYING, State.ABORTED, State.ENDED),
+    State.PLAYING: (State.MOVING, State.ENDED),
+    State.MOVING: (State.ENDED,),
+    State.REJECTED: (State.ENDED,),
+    State.ABORTED: (State.ENDED,),
+    State.ENDED: (),
+}
+
+
+class Title:
+    def __init__(self, cells):
+        self.cells = cells
+        self.seated = {}  # plan name -> playbacks held, set-ups included
+
+
+class Rack:
+    def __init__(self):
+        self.streamers = []
+        self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
+
+
+class Streamer:
+    """A streaming server as this controller sees it."""
+
+    def __init__(self, listed, rack):
+        self.rack = rack
+        self.playbacks = {}  # playback -> None, in order; set-ups out included
+        self.own = deque([(0, 0.0)], maxlen=64)  # (time, own link demand from then on)
+        self.others = deque(maxlen=2)  # what others asked of its link, by the last reports
+        self.count = 0  # set-ups since the server list changed
+        self.short = None  # (time, share) of the last short-delivery note
+        self.gap = 0  # trickle: least time between set-ups while it is set aside; 0: trusted
+        self.next_try = 0
+        self.down = None  # when seen to fail: it may come back cold before the list says so
+        self.slot = None  # the last turn used while it is cold
+        self.listed = listed
+        rack.streamers.append(self)
+
+
+class Playback:
+    def __init__(self, id, plan, title, top, due, moved):
+        self.id, self.plan, self.title, self.top, self.due = id, plan, title, top, due
+        self.state = State.HELD
+        self.streamer = None
+        self.rung = plan.floor
+        self.tries = 0
+        self.time_out = 0
+        self.come_back = 0
+        self.trail = []  # streamers tried already
+        self.hold_until = due
+        self.stepped = 0  # when its rung last changed
+        self.since = 0  # when it began to play, or to be tried
+        self.may_have_run = False
+        self.out = False  # a set-up is out
+
+
+class Controller:
+    def __init__(self, deployment, now):
+        self.d = deployment
+        self.born = now
+        self.began_empty = True  # no playback was handed over: a restart with an old list
+        self.streamers, self.racks, self.titles, self.playbacks = {}, {}, {}, {}
+        self.open = {}  # playbacks held or trying, in order
+        self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
+        self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
+        self.lives = deque(maxlen=64)  # how long playbacks played
+        self.draws = 0
+        self.wake_at, self.next_scan = None, 0
+        self.changed = []
+
+    # ---- the calls ----
+
+    def list_changed(self, now, entries, whole, old):
+        listed = {e.id for e in entries}
+        if whole:
+            for id, s in self.streamers.items():
+                if id not in listed:
+                    self._unlist(s)
+        for e in entries:
+            s = self.streamers.get(e.id)
+            if s is None:
+                rack = self.racks.setdefault(e.cell % max(1, self.d.links.racks), Rack())
+                s = self.streamers[e.id] = Streamer(e, rack)
+            if e.standing is Standing.GONE:
+                self._unlist(s)
+                continue
+            if e.started != s.listed.started:
+                s.down, s.slot = None, None
+                s.others.clear()
+            s.listed = e
+        for s in self.streamers.values():
+            s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
+        return self._go(now)
+
+    def _unlist(self, s):
+        s.listed = type(s.listed)(**{**vars(s.listed), "standing": Standing.GONE})
+
+    def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
+        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left)
+        self.taken.append(now)
+        # DESIGN's brief hold; 2 s is its figure
+        pb.hold_until = min(now + 2 * SECOND, pb.due)
+        if pb.rung > top or time_left <= 0:
+            self._reject(now, pb)
+        return self._go(now, pb)
+
+    def handed_over(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved, streamer):
+        self.began_empty = False
+        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left)
+        pb.tries, pb.streamer = 1, self.streamers.get(streamer)
+        if pb.streamer is None:  # listed nowhere: nothing can be said of it
+            self._turn(now, pb, State.ENDED)
+            return self._go(now)
+        pb.out = True
+        self._turn(now, pb, State.PLAYING)
+        self._seat(now, pb)
+        return self._go(now)
+
+    def playing(self, now, id, took):
+        pb = self.playbacks.get(id)
+        if pb and pb.state is State.TRYING:
+            self.answers.append(took)
+            self._well(now, pb.streamer)
+            self._turn(now, pb, State.PLAYING)
+        return self._go(now)
+
+    def try_ended(self, now, id, ending, took, finished, streamer, report):
+        pb = self.playbacks.get(id)
+        s = self.streamers.get(streamer)
+        if s and report:
+            self._hear(now, s, report.get("link"), report.get("uplink"), True)
+        if pb is None or not pb.out:
+            return self._go(now)
+        pb.out = False
+        self._unseat(now, pb)
+        trying = pb.state is State.TRYING
+        if trying and ending.may_have_run:
+            pb.may_have_run = True
+        if ending in (Ending.ERRED, Ending.SILENT, Ending.UNREACHED, Ending.BROKEN):
+            self._badly(now, pb.streamer, ending)
+        if pb.state in FINAL:
+            self.playbacks.pop(id)
+        elif finished:
+            if pb.state is State.PLAYING and ending is Ending.PLAYED_OUT:
+                self.lives.append(now - pb.since)
+            self._turn(now, pb, State.ENDED)
+        elif trying:
+            self._turn(now, pb, State.HELD)
+            if pb.may_have_run and not pb.plan.repeatable:
+                self._turn(now, pb, State.ABORTED)  # paid at set-up: neither resent nor rejected
+        return self._go(now, pb)
+
+    def told_rung(self, now, id, rung):
+        pb = self.playbacks.get(id)
+        if pb and pb.streamer and 0 <= rung < len(self.d.ladder.rates):
+            pb.rung = int(rung)
+            self._note_own(now, pb.streamer)
+        return []
+
+    def told_link(self, now, id, streamer, use):
+        if streamer in self.streamers:
+            self._hear(now, self.streamers[streamer], use, None, self._fresh(now, id))
+        return self._go(now)
+
+    def told_uplink(self, now, id, streamer, use):
+        if streamer in self.streamers:
+            self._hear(now, self.streamers[streamer], None, use, self._fresh(now, id))
+        return self._go(now)
+
+    def _fresh(self, now, id):
+        """Figures told at a set-up are of now; later ones describe the past."""
+        pb = self.playbacks.get(id)
+        # 50 ms: set-up and note come in the same batch, or the next
+        return pb is not None and now - pb.since < 50 * MS
+
+    def told_share(self, now, streamer, share):
+        s = self.streamers.get(streamer)
+        if s and share is not None and 0 <= share <= 1:
+            s.short = (now, share) if share < 0.98 else None
+            if s.short:
+                self._short(now, s)
+                self._companion(now, s.rack)
+        return self._go(now)
+
+    def viewer_left(self, now, id):
+        pb = self.playbacks.get(id)
+        if pb and pb.state not in FINAL:
+            self._turn(now, pb, State.ENDED)
+        return self._go(now)
+
+    def peer_message(self, now, author, data):
+        return []
+
+    def probe_answer(self, now, streamer, ending, took, report):
+        return []
+
+    def wake(self, now):
+        return self._go(now)
+
+    # ---- playbacks ----
+
+    def _take(self, now, id, plan, title, first_cell, cells, top, time_left):
+        span = frozenset((first_cell + j) % max(1, self.d.links.cells) for j in range(cells))
+        t = self.titles.setdefault((title, span), Title(span))
+        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left, False)
+        self.open[pb] = None
+        return pb
+
+    def _turn(self, now, pb, state):
+        """Every change of a playback's state."""
+        assert state in ROUTES[pb.state], f"{pb.state} to {state}"
+        pb.state, pb.since = state, now
+        if state not in (State.HELD, State.TRYING):
+            self.open.pop(pb, None)
+        if state in FINAL and not pb.out:
+            self.playbacks.pop(pb.id)
+        if state is not State.ENDED:
+            self.changed.append(pb)
+
+    def _reject(self, now, pb):
+        """Rejecting is the last word only where nothing can have run; otherwise the playback aborts."""
+        # a second is about the pause viewers make by themselves; less brings them back into the same jam
+        pb.come_back = min(SECOND, self.d.rules.longest_advice)
+        spoilt = pb.may_have_run and not pb.plan.repeatable
+        self._turn(now, pb, State.ABORTED if spoilt else State.REJECTED)
+
+    def _seat(self, now, pb):
+        pb.streamer.playbacks[pb] = None
+        seated = pb.title.seated
+        seated[pb.plan.name] = seated.get(pb.plan.name, 0) + 1
+        self._note_own(now, pb.streamer)
+
+    def _unseat(self, now, pb):
+        if pb.streamer and pb in pb.streamer.playbacks:
+            del pb.streamer.playbacks[pb]
+            pb.title.seated[pb.plan.name] -= 1
+            self._note_own(now, pb.streamer)
+
+    def _go(self, now, pb=None):
+        """Give held playbacks their next try or their answer, and say when to be called again."""
+        # each is tried as it comes and then every 50 ms: bounds the work of a long queue
+        due = now >= self.next_scan
+        if due:
+            self.next_scan = now + 50 * MS
+        for pb in list(self.open) if due else [pb] if pb in self.open else []:
+            if pb.state is State.TRYING:
+                if now >= pb.due:  # paid, and out at the abandon time: it can only be aborted
+                    self._turn(now, pb, State.ABORTED)
+            elif not self._place(now, pb) and now >= pb.hold_until:
+                self._reject(now, pb)
+        self.wake_at = self.next_scan if self.open else None
+        changed, self.changed = self.changed, []
+        return changed
+
+    # ---- the choice of a streamer ----
+
+    def _place(self, now, pb):
+        """The least-loaded holder off the trail, at the companion's rung; False: hold."""
+        plan, rules = pb.plan, self.d.rules
+        holders = [s for s in self.streamers.values() if s.listed.cell in pb.title.cells]
+        ready = [s for s in holders if s.listed.standing is Standing.READY]
+        fresh = [s for s in ready if s not in pb.trail]
+        if not fresh or pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
+            self._reject(now, pb)  # every holder is on the trail, or no try is left
+            return True
+        if plan.seats and pb.title.seated.get(plan.name, 0) >= plan.seats:
+            return False
+        if pb.tries and not self._extra_left(now):
+            return False
+        able = [s for s in fresh if self._cold_turn(now, s) and (not s.gap or now >= s.next_try)]
+        if not plan.repeatable:
+            able = [s for s in able if not s.gap] or able
+        # workload, then set-up counts among near ties; 0.05 is the noise of the reports
+        use = {s: self._use(s) for s in able}
+        able.sort(key=lambda s: (use[s], self._chance()))
+        rest = []
+        while able:
+            near = [s for s in able if use[s] <= use[able[0]] + 0.05]
+            s = min(near, key=lambda s: s.count)
+            able.remove(s)
+            rung, room = self._rung(now, pb, s)
+            if room:
+                return self._send(now, pb, s, rung)
+            rest.append(s)
+        for s in rest:
+            rate = self._rate(plan, plan.floor)
+            if self._use(s) + rate / self._link(s) <= 1:
+                return self._send(now, pb, s, plan.floor)
+        return False
+
+    def _send(self, now, pb, s, rung):
+        pb.tries += 1
+        if pb.tries > 1:
+            self.extra.append(now)
+        pb.streamer, pb.rung, pb.out = s, rung, True
+        pb.trail.append(s)
+        pb.time_out = pb.due - now
+        if pb.plan.repeatable:
+            pb.time_out = min(pb.time_out, self._patience())
+        s.count += 1
+        if s.gap:
+            s.next_try = now + s.gap
+        s.slot = self._slot(now, s)
+        self._turn(now, pb, State.TRYING)
+        self._seat(now, pb)
+        return True
+
+    def _patience(self):
+        """How long a silence is still usual, by the answers seen before."""
+        # three spreads over the mean: one good set-up in a hundred is cut off at most
+        mean = sum(self.answers) / len(self.answers)
+        spread = (sum((a - mean) ** 2 for a in self.answers) / len(self.answers)) ** 0.5
+        return int(max(1.5 * mean, mean + 3 * spread, 150 * MS))
+
+    def _extra_left(self, now):
+        rules = self.d.rules
+        if rules.extra_tries is None:
+            return True
+        for times in (self.taken, self.extra):
+            while times and times[0] <= now - rules.extra_window:
+                times.popleft()
+        return len(self.extra) + 1 <= rules.extra_tries + rules.extra_share * len(self.taken)
+
+    # ---- health and cold starts ----
+
+    def _badly(self, now, s, ending):
+        """Set aside: guards against streamers that err at once (and look idle), hang or are gone."""
+        # from 1 s, doubling to 8 s: a handful of tries lost in the longest trouble
+        s.gap = min(8 * SECOND, max(SECOND, 2 * s.gap))
+        s.next_try = now + s.gap
+        if ending is not Ending.ERRED and s.down is None:
+            s.down, s.slot = now, None
+
+    def _well(self, now, s):
+        s.gap = s.gap // 2 if s.gap > SECOND // 4 else 0
+        s.next_try = now + s.gap
+        if s.down is not None:  # back before the list said so: its warm-up counts from now
+            s.down, s.slot = None, None
+            s.listed = type(s.listed)(**{**vars(s.listed), "started": now})
+
+    def _slot(self, now, s):
+        """Which set-up of the cold pace is due now, and how far into its turn; None: warm."""
+        rules = self.d.rules
+        start = s.listed.started
+        if self.began_empty:
+            start = max(start, self.born)  # guards a restart with an old list: any streamer may be new
+        places = self.d.links.places.get(s.listed.kind) or min(self.d.links.places.values(), default=8)
+        share = rules.cold_share
+        if s.down is not None:
+            return places * share * (now - s.down) / rules.cold_for
+        if not start or now - start >= rules.cold_for:
+            return None
+        x = max(0, now - start) / rules.cold_for
+        # the integral of the pace; warmth is taken to rise late, as the ramp is not told
+        return places * (share * x + (1 - share) * x**3 / 3)
+
+    def _cold_turn(self, now, s):
+        """Controllers take turns by rank at the cold pace, each in the first third of its turn, so that
+        all together stay under the stated multiple, without a word between them."""
+        at = self._slot(now, s)
+        if at is None:
+            return True
+        mine = int(at) % self.d.controllers == self.d.rank % self.d.controllers
+        used = s.slot is not None and int(s.slot) == int(at)
+        return mine and at % 1 < 0.34 and not used
+
+    # ---- estimates ----
+
+    def _hear(self, now, s, link, uplink, fresh):
+        """A report: what others ask is what was asked then, less what own playbacks asked then."""
+        at = now if fresh else now - self.d.links.lag
+        if link is not None and 0 <= link < 100:
+            s.others.append(max(0.0, link * self._link(s) - self._own_at(s, at)))
+        if uplink is not None and 0.05 < uplink < 100:
+            s.rack.seen.append((now, self._rack_asked(s.rack, at) / uplink))
+        self._companion(now, s.rack)
+
+    def _chance(self):
+        self.draws += 1
+        return zlib.crc32(f"{self.d.seed}:{self.draws}".encode())
+
+    def _rate(self, plan, rung):
+        return self.d.ladder.rates[rung] * plan.scale
+
+    def _link(self, s):
+        return max(1.0, self.d.links.unit_kb * (s.listed.weight if s.listed.weight > 0 else 1.0))
+
+    def _note_own(self, now, s):
+        s.own.append((now, sum(self._rate(pb.plan, pb.rung) for pb in s.playbacks)))
+
+    def _own_at(self, s, at):
+        return next((kb for t, kb in reversed(s.own) if t <= at), s.own[0][1])
+
+    def _others(self, s):
+        if not s.others:  # nothing heard yet: the other controllers do as this one
+            return s.own[-1][1] * (self.d.controllers - 1)
+        return sum(s.others) / len(s.others)
+
+    def _asked(self, s):
+        return self._others(s) + s.own[-1][1]
+
+    def _use(self, s):
+        return self._asked(s) / self._link(s)
+
+    def _rack_asked(self, rack, at):
+        return sum(self._others(s) + self._own_at(s, at) for s in rack.streamers)
+
+    def _uplink(self, now, rack):
+        told = self.d.links.uplink_kb
+        if not rack.seen:
+            return told
+        at, gave = rack.seen[-1]
+        return min(max(gave, told / 8), told * 2)
+
+    def _short(self, now, s):
+        """A short-delivery note: its link is short, or the rack's uplink where the link has room."""
+        at = now - self.d.links.lag
+        share = max(0.2, s.short[1])
+        mates = [m for m in s.rack.streamers if m is not s and m.playbacks]
+        also = [m for m in mates if m.short and now - m.short[0] < 3 * SECOND]
+        asked = self._others(s) + self._own_at(s, at)
+        if asked / self._link(s) < 0.97 and (also or not mates):
+            if not s.rack.seen or now - s.rack.seen[-1][0] > self.d.links.lag + SECOND:
+                s.rack.seen.append((now, self._rack_asked(s.rack, at) * share))
+        elif asked / self._link(s) < 1 / share:
+            s.others.append(max(0.0, self._link(s) / share - self._own_at(s, at)))
+
+    # ---- the companion ----
+
+    # DESIGN's mark: links and uplinks are filled to nine tenths
+    MARK = 0.9
+
+    def _budget(self, limit, others, own):
+        """What own playbacks may ask of a link: all but the others' part, or, over the mark, a fair cut."""
+        mark = self.MARK * limit
+        return max(mark - others, mark * own / (own + others) if own else 0.0)
+
+    def _fair(self, now, rack, pb=None, s=None):
+        """The rungs that earn most when all own playbacks of a rack share it, a newcomer included."""
+        room, rack_others, rack_own = {}, 0.0, 0.0
+        for m in rack.streamers:
+            others, own = self._others(m), m.own[-1][1]
+            rack_others, rack_own = rack_others + others, rack_own + own
+            room[m] = self._budget(self._link(m), others, own)
+        room[rack] = self._budget(self._uplink(now, rack), rack_others, rack_own)
+        all_of = [p for m in rack.streamers for p in m.playbacks] + ([pb] if pb else [])
+        rungs, steps = {}, []
+        for n, p in enumerate(all_of):
+            at = s if p is pb else p.streamer
+            rungs[p] = p.plan.floor
+            room[at] -= self._rate(p.plan, p.plan.floor)
+            room[rack] -= self._rate(p.plan, p.plan.floor)
+            self._next_step(steps, n, p, p.plan.floor)
+        while steps:
+            _, n, rung, kb = heapq.heappop(steps)
+            p = all_of[n]
+            at = s if p is pb else p.streamer
+            if kb <= room[at] and kb <= room[rack]:
+                room[at] -= kb
+                room[rack] -= kb
+                rungs[p] = rung
+                self._next_step(steps, n, p, rung)
+        return rungs
+
+    def _next_step(self, steps, n, p, rung):
+        if rung < min(p.top, len(self.d.ladder.rates) - 1):
+            ladder = self.d.ladder
+            kb = self._rate(p.plan, rung + 1) - self._rate(p.plan, rung)
+            gain = p.plan.revenue * (ladder.revenue[rung + 1] - ladder.revenue[rung])
+            heapq.heappush(steps, (-gain / max(kb, 1e-9), n, rung + 1, kb))
+
+    def _room(self, now, s):
+        """Free kB a second under the mark, on the link and on the uplink."""
+        rack = s.rack
+        return min(self.MARK * self._link(s) - self._asked(s),
+                   self.MARK * self._uplink(now, rack) - self._rack_asked(rack, now))
+
+    def _rung(self, now, pb, s):
+        """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
+        free = self._room(now, s)
+        if self._rate(pb.plan, pb.plan.floor) > free:
+            return pb.plan.floor, False
+        fair = self._fair(now, s.rack, pb, s)[pb]
+        for rung in range(fair, pb.plan.floor - 1, -1):
+            if self._rate(pb.plan, rung) <= free:
+                return rung, True
+
+    def _companion(self, now, rack):
+        """Correct the rungs of what plays, as reports and notes arrive."""
+        rungs = self._fair(now, rack)
+        over = self._rack_asked(rack, now) > self._uplink(now, rack)
+        for pb, fair in rungs.items():
+            s = pb.streamer
+            if pb.state is not State.PLAYING:
+                continue
+            if pb.rung > fair and (over or self._use(s) > 1):
+                self._step(now, pb, fair)
+            # 4 s between rises keeps well under the three steps a minute the design allows
+            elif pb.rung < fair and now - max(pb.stepped, pb.since) > 4 * SECOND:
+                kb = self._rate(pb.plan, pb.rung + 1) - self._rate(pb.plan, pb.rung)
+                # of what is free only the own part, as the other controllers see the same room
+                if kb <= self._room(now, s) / self.d.controllers:
+                    self._step(now, pb, pb.rung + 1)
+
+    def _step(self, now, pb, rung):
+        pb.rung, pb.stepped = rung, now
+        self.changed.append(pb)
+        self._note_own(now, pb.streamer)
--- /dev/null
+++ b/terndrift/interface.py
@@ -0,0 +1,134 @@
+"""What is handed to the decisions, and the contract of their calls.
+
+The host makes one `terndrift.decide.Controller(deployment, now)` for each front and calls it with
+what it hears, each call with the time in whole nanoseconds. Every call returns the playbacks that it
+changed, in order, and the host carries out at once what each of them now stands for:
+
+    state TRYING    set the playback up at `streamer`, at `rung`, waiting `time_out` at most; `tries`
+                    counts the set-ups so far, so a higher count than before is a new one to send
+    state PLAYING   a `rung` other than the one last told is a change of rung
+    state MOVING    take the playback off its streamer; the viewer comes back as a new playback
+    state REJECTED  answer "not now, come back after `come_back`" (0: no advice)
+    state ABORTED   answer "failed"
+
+and nothing for HELD and ENDED. `Controller.wake_at` is when the host should call `wake` next (None:
+not needed); an early or a late call does no harm. The calls:
+
+    list_changed(now, entries, whole, old)     the server list: all of it or changes; old: a cached copy
+    wanted(now, id, plan, title, first_cell, cells, top, time_left, hint, moved)    a viewer asks
+    handed_over(now, id, ..., streamer)        as `wanted`, but it plays already at that streamer
+    playing(now, id, took)                     the set-up that is out came to play
+    try_ended(now, id, ending, took, finished, streamer, report)   a set-up, or what played, is over
+    told_rung(now, id, rung)                   the rung in force of a playback handed over
+    told_share(now, streamer, share)           the share of their rates playbacks got there a while ago
+    told_link(now, id, streamer, use)          link asked over given: now at the set-up of playback
+                                               `id`, later a while ago
+    told_uplink(now, id, streamer, use)        the same of the uplink of its rack
+    viewer_left(now, id)                       nothing more is owed for it
+    peer_message(now, author, data)            from another controller of the same deployment
+    probe_answer(now, streamer, ending, took, report)
+    wake(now)
+
+A `report` is a dict that may hold "streams" (run or set up there), "link" and "uplink" (asked over
+given); any may be missing or absurd. Ids that are no longer held are passed over.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Standing(Enum):
+    """What the server list says of a streamer."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Ending(Enum):
+    """How a set-up, or what it began, ended; the value says whether it may have run."""
+
+    PLAYED_OUT = "played out", True
+    ERRED = "erred", True
+    FULL = "full", False
+    SILENT = "silent", True
+    UNREACHED = "unreached", False
+    BROKEN = "broken", True
+    CALLED_OFF = "called off", True
+    NEVER_SENT = "never sent", False
+
+    @property
+    def may_have_run(self):
+        return self.value[1]
+
+
+@dataclass(frozen=True)
+class Plan:
+    name: str
+    revenue: float  # of a second at a rung of revenue 1
+    scale: float  # its rates over those of the ladder
+    floor: int  # lowest rung that may play
+    top: int  # highest rung that it offers
+    seats: int  # playbacks of one title a controller may hold; 0: no cap
+    startup_target: int  # time within which an answer is wanted
+    repeatable: bool  # may be set up again and rejected without harm
+
+
+@dataclass(frozen=True)
+class Ladder:
+    rates: tuple  # kB a second, rung by rung
+    revenue: tuple  # what each rung earns
+    shortfall_cost: float  # points lost for each point of the rate that is missing
+    switch_cost: int  # a change of rung while playing costs the revenue of so much time
+
+
+@dataclass(frozen=True)
+class Links:
+    unit_kb: float  # link of a streamer for each unit of its weight, rough
+    uplink_kb: float  # mean uplink of a rack
+    racks: int
+    cells: int
+    places: dict  # kind of streamer -> playbacks it runs at most
+    lag: int  # how late shares, link and uplink figures of playing streamers are
+    refuses_from: float  # a streamer turns set-ups away from this link use on; 0: never
+
+
+@dataclass(frozen=True)
+class Rules:
+    answer_slack: int
+    cold_for: int  # a started streamer is warm after this long at most
+    cold_share: float  # and starts at this share of its capacity or higher
+    fall_multiple: float  # times the cold pace
+    fall_window: int  # within so long
+    try_limit: int
+    extra_tries: int | None  # set-ups beyond the first: so many and
+    extra_share: float  # this share of the playbacks taken, in any
+    extra_window: int  # window so long; extra_tries None: no limit
+    longest_advice: int  # clients follow advice on coming back up to this; 0: none can be given
+    probes: bool
+    peers: bool
+
+
+@dataclass(frozen=True)
+class Deployment:
+    seed: int
+    rank: int
+    controllers: int
+    zone: str
+    plans: dict  # name -> Plan
+    ladder: Ladder
+    links: Links
+    rules: Rules
+
+
+@dataclass(frozen=True)
+class Listed:
+    """A line of the server list."""
+
+    id: int
+    kind: str
+    zone: str
+    cell: int
+    standing: Standing
+    weight: float
+    started: int  # 0: long ago
