Companion: rises jump to the fair rung, cuts take only what is over, uplinks by the mean of four samples

Now rises take the own part of free room once in 2 s and 8 s apart for a playback; cuts stop when the excess is gone.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -8,6 +8,7 @@
 import heapq
 import zlib
 from collections import deque
+from dataclasses import replace
 from enum import Enum
 
 from .interface import Ending, Standing
@@ -47,6 +48,7 @@
 class Rack:
     def __init__(self):
         self.streamers = []
+        self.raised = 0  # when own playbacks there last rose
         self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
 
 
@@ -69,7 +71,7 @@
 
 
 class Playback:
-    def __init__(self, id, plan, title, top, due, moved):
+    def __init__(self, id, plan, title, top, due):
         self.id, self.plan, self.title, self.top, self.due = id, plan, title, top, due
         self.state = State.HELD
         self.streamer = None
@@ -80,6 +82,7 @@
         self.trail = []  # streamers tried already
         self.hold_until = due
         self.stepped = 0  # when its rung last changed
+        self.ends = 0  # when it is likely to end; 0: not known
         self.since = 0  # when it began to play, or to be tried
         self.may_have_run = False
         self.out = False  # a set-up is out
@@ -92,6 +95,7 @@
         self.began_empty = True  # no playback was handed over: a restart with an old list
         self.streamers, self.racks, self.titles, self.playbacks = {}, {}, {}, {}
         self.open = {}  # playbacks held or trying, in order
+        self.stale = {}  # racks with news for the companion
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
         self.lives = deque(maxlen=64)  # how long playbacks played
@@ -106,15 +110,12 @@
         if whole:
             for id, s in self.streamers.items():
                 if id not in listed:
-                    self._unlist(s)
+                    s.listed = replace(s.listed, standing=Standing.GONE)
         for e in entries:
             s = self.streamers.get(e.id)
             if s is None:
                 rack = self.racks.setdefault(e.cell % max(1, self.d.links.racks), Rack())
                 s = self.streamers[e.id] = Streamer(e, rack)
-            if e.standing is Standing.GONE:
-                self._unlist(s)
-                continue
             if e.started != s.listed.started:
                 s.down, s.slot = None, None
                 s.others.clear()
@@ -123,14 +124,12 @@
             s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
         return self._go(now)
 
-    def _unlist(self, s):
-        s.listed = type(s.listed)(**{**vars(s.listed), "standing": Standing.GONE})
-
     def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
         pb = self._take(now, id, plan, title, first_cell, cells, top, time_left)
         self.taken.append(now)
         # DESIGN's brief hold; 2 s is its figure
         pb.hold_until = min(now + 2 * SECOND, pb.due)
+        pb.ends = now + hint if hint else 0
         if pb.rung > top or time_left <= 0:
             self._reject(now, pb)
         return self._go(now, pb)
@@ -143,6 +142,7 @@
             self._turn(now, pb, State.ENDED)
             return self._go(now)
         pb.out = True
+        pb.ends = now + hint if hint else 0
         self._turn(now, pb, State.PLAYING)
         self._seat(now, pb)
         return self._go(now)
@@ -210,7 +210,7 @@
             s.short = (now, share) if share < 0.98 else None
             if s.short:
                 self._short(now, s)
-                self._companion(now, s.rack)
+                self.stale[s.rack] = None
         return self._go(now)
 
     def viewer_left(self, now, id):
@@ -233,7 +233,7 @@
     def _take(self, now, id, plan, title, first_cell, cells, top, time_left):
         span = frozenset((first_cell + j) % max(1, self.d.links.cells) for j in range(cells))
         t = self.titles.setdefault((title, span), Title(span))
-        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left, False)
+        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left)
         self.open[pb] = None
         return pb
 
@@ -273,13 +273,16 @@
         due = now >= self.next_scan
         if due:
             self.next_scan = now + 50 * MS
+            for rack in self.stale:
+                self._companion(now, rack)
+            self.stale.clear()
         for pb in list(self.open) if due else [pb] if pb in self.open else []:
             if pb.state is State.TRYING:
                 if now >= pb.due:  # paid, and out at the abandon time: it can only be aborted
                     self._turn(now, pb, State.ABORTED)
             elif not self._place(now, pb) and now >= pb.hold_until:
                 self._reject(now, pb)
-        self.wake_at = self.next_scan if self.open else None
+        self.wake_at = self.next_scan if self.open or self.stale else None
         changed, self.changed = self.changed, []
         return changed
 
@@ -367,7 +370,7 @@
         s.next_try = now + s.gap
         if s.down is not None:  # back before the list said so: its warm-up counts from now
             s.down, s.slot = None, None
-            s.listed = type(s.listed)(**{**vars(s.listed), "started": now})
+            s.listed = replace(s.listed, started=now)
 
     def _slot(self, now, s):
         """Which set-up of the cold pace is due now, and how far into its turn; None: warm."""
@@ -404,7 +407,7 @@
             s.others.append(max(0.0, link * self._link(s) - self._own_at(s, at)))
         if uplink is not None and 0.05 < uplink < 100:
             s.rack.seen.append((now, self._rack_asked(s.rack, at) / uplink))
-        self._companion(now, s.rack)
+        self.stale[s.rack] = None
 
     def _chance(self):
         self.draws += 1
@@ -436,11 +439,11 @@
     def _rack_asked(self, rack, at):
         return sum(self._others(s) + self._own_at(s, at) for s in rack.streamers)
 
-    def _uplink(self, now, rack):
+    def _uplink(self, rack):
         told = self.d.links.uplink_kb
         if not rack.seen:
             return told
-        at, gave = rack.seen[-1]
+        gave = sum(kb for _, kb in rack.seen) / len(rack.seen)
         return min(max(gave, told / 8), told * 2)
 
     def _short(self, now, s):
@@ -473,7 +476,7 @@
             others, own = self._others(m), m.own[-1][1]
             rack_others, rack_own = rack_others + others, rack_own + own
             room[m] = self._budget(self._link(m), others, own)
-        room[rack] = self._budget(self._uplink(now, rack), rack_others, rack_own)
+        room[rack] = self._budget(self._uplink(rack), rack_others, rack_own)
         all_of = [p for m in rack.streamers for p in m.playbacks] + ([pb] if pb else [])
         rungs, steps = {}, []
         for n, p in enumerate(all_of):
@@ -504,7 +507,7 @@
         """Free kB a second under the mark, on the link and on the uplink."""
         rack = s.rack
         return min(self.MARK * self._link(s) - self._asked(s),
-                   self.MARK * self._uplink(now, rack) - self._rack_asked(rack, now))
+                   self.MARK * self._uplink(rack) - self._rack_asked(rack, now))
 
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
@@ -519,19 +522,39 @@
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
         rungs = self._fair(now, rack)
-        over = self._rack_asked(rack, now) > self._uplink(now, rack)
-        for pb, fair in rungs.items():
-            s = pb.streamer
+        # with the uplink first; what is over goes down, and of free room each controller takes its part,
+        # once in 2 s: as long as reports need to show what the others did with theirs
+        rising = now - rack.raised > 2 * SECOND
+        cut, room = {}, {}
+        for at in [rack, *rack.streamers]:
+            asked = self._rack_asked(rack, now) if at is rack else self._asked(at)
+            own = sum(m.own[-1][1] for m in rack.streamers) if at is rack else at.own[-1][1]
+            limit = self._uplink(rack) if at is rack else self._link(at)
+            cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit else 0.0
+            room[at] = max(0.0, self.MARK * limit - asked) / self.d.controllers if rising else 0.0
+        for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
+            s, fair = pb.streamer, rungs[pb]
             if pb.state is not State.PLAYING:
                 continue
-            if pb.rung > fair and (over or self._use(s) > 1):
+            if pb.rung > fair and max(cut[s], cut[rack]) > 0:
+                kb = self._rate(pb.plan, pb.rung) - self._rate(pb.plan, fair)
+                cut[s], cut[rack] = cut[s] - kb, cut[rack] - kb
                 self._step(now, pb, fair)
-            # 4 s between rises keeps well under the three steps a minute the design allows
-            elif pb.rung < fair and now - max(pb.stepped, pb.since) > 4 * SECOND:
-                kb = self._rate(pb.plan, pb.rung + 1) - self._rate(pb.plan, pb.rung)
-                # of what is free only the own part, as the other controllers see the same room
-                if kb <= self._room(now, s) / self.d.controllers:
-                    self._step(now, pb, pb.rung + 1)
+            # 8 s between steps of one playback keep to the three a minute that the design allows
+            elif pb.rung < fair and now - pb.stepped > 8 * SECOND:
+                for rung in range(fair, pb.rung, -1):
+                    kb = self._rate(pb.plan, rung) - self._rate(pb.plan, pb.rung)
+                    if kb <= min(room[s], room[rack]) and self._pays(now, pb, rung):
+                        room[s], room[rack], rack.raised = room[s] - kb, room[rack] - kb, now
+                        self._step(now, pb, rung)
+                        break
+
+    def _pays(self, now, pb, rung):
+        """Whether a rise earns more than the change costs, in the time that is left."""
+        ladder = self.d.ladder
+        left = pb.ends - now if pb.ends else sum(self.lives) / max(1, len(self.lives)) or 20 * SECOND
+        gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
+        return gain * left > 2 * ladder.switch_cost * ladder.revenue[rung]
 
     def _step(self, now, pb, rung):
         pb.rung, pb.stepped = rung, now
