Handed-over playbacks keep their rung until the companion steps them

Cause: the adapter told each handed-over playback the floor at once, a step down that nobody asked for.

--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -119,7 +119,8 @@
 
     def existing(self, inst, now, f):
         asked = self.asked(inst, now, f)
-        inst.told[asked["id"]] = [1, None]
+        # its rung is told by a note; until then nothing is to be sent of it
+        inst.told[asked["id"]] = [1, inst.deployment.plans[asked["plan"]].floor]
         return inst.controller.handed_over(now, **asked, streamer=whole(f, "streamer"))
 
     def accepted(self, inst, now, f):
@@ -149,7 +150,8 @@
         if sort == 1:
             return c.told_share(now, streamer, x)
         if sort == 2:
-            inst.told.setdefault(id, [1, None])[1] = int(x)
+            if id in inst.told:
+                inst.told[id][1] = int(x)
             return c.told_rung(now, id, int(x))
 
         if sort == 3:
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -554,7 +554,7 @@
         ladder = self.d.ladder
         left = pb.ends - now if pb.ends else sum(self.lives) / max(1, len(self.lives)) or 20 * SECOND
         gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
-        return gain * left > 2 * ladder.switch_cost * ladder.revenue[rung]
+        return gain * left > 2 * ladder.switch_cost
 
     def _step(self, now, pb, rung):
         pb.rung, pb.stepped = rung, now
