Short notes correct the uplink only while the share falls; reports fade; the uplink figure creeps back

Cause: one standing streamer's note was blamed on its link and poisoned its whole rack for good; a slow rise of the share after a cut was read as a further shortage.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -46,29 +46,81 @@
 
 
 class Rack:
-    def __init__(self):
+    """Streamers behind one uplink, and what is asked of that uplink."""
+
+    def __init__(self, told):
+        self.told = told
         self.streamers = []
-        self.raised = 0  # when own playbacks there last rose
         self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
+        self.raised = 0  # when own playbacks there last rose
+
+    def limit(self, now):
+        if not self.seen:
+            return self.told
+        gave = sum(kb for _, kb in self.seen) / len(self.seen)
+        # a figure of the past creeps back to the told one, 2% a second: a trouble ends unannounced,
+        # and a jump back would overrun an uplink that is simply smaller
+        if gave < self.told:
+            gave = min(self.told, gave * (1 + 0.02 * max(0, now - self.seen[-1][0]) / SECOND))
+        return min(max(gave, self.told / 8), self.told * 2)
+
+    def own(self, at=None):
+        return sum(s.own(at) for s in self.streamers)
+
+    def asked(self, now, at=None):
+        return sum(s.asked(now, at) for s in self.streamers)
 
 
 class Streamer:
-    """A streaming server as this controller sees it."""
+    """A streaming server as this controller sees it: its link, its set-ups, its health."""
 
-    def __init__(self, listed, rack):
-        self.rack = rack
+    def __init__(self, listed, rack, deployment):
+        self.listed, self.rack, self.d = listed, rack, deployment
         self.playbacks = {}  # playback -> None, in order; set-ups out included
-        self.own = deque([(0, 0.0)], maxlen=64)  # (time, own link demand from then on)
-        self.others = deque(maxlen=2)  # what others asked of its link, by the last reports
+        self.asks = deque([(0, 0.0)], maxlen=64)  # (time, own link demand from then on)
+        self.heard = deque(maxlen=2)  # (time, what others asked of its link): the last reports
         self.count = 0  # set-ups since the server list changed
-        self.short = None  # (time, share) of the last short-delivery note
+        self.shares = deque(maxlen=2)  # (time, share) of the last notes on delivery
         self.gap = 0  # trickle: least time between set-ups while it is set aside; 0: trusted
         self.next_try = 0
         self.down = None  # when seen to fail: it may come back cold before the list says so
         self.slot = None  # the last turn used while it is cold
-        self.listed = listed
         rack.streamers.append(self)
 
+    def limit(self, now=0):
+        weight = self.listed.weight
+        return max(1.0, self.d.links.unit_kb * (weight if 0.01 < weight < 100 else 1.0))
+
+    def own(self, at=None):
+        if at is None:
+            return self.asks[-1][1]
+        return next((kb for t, kb in reversed(self.asks) if t <= at), self.asks[0][1])
+
+    def others(self, now):
+        """The blend: the last reports fade, in 15 s, into what this controller asks of it, times the others.
+        Guards against a streamer shut out for good by the last thing that was heard of it."""
+        guess = self.own() * (self.d.controllers - 1)
+        if not self.heard:
+            return guess
+        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND))
+        return (1 - old) * sum(kb for _, kb in self.heard) / len(self.heard) + old * guess
+
+    def asked(self, now, at=None):
+        return self.others(now) + self.own(at)
+
+    def use(self, now):
+        return self.asked(now) / self.limit()
+
+    def stuck(self, now):
+        """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
+        # half: less than a weak uplink was ever seen to give while its neighbours went on well
+        short = self.shares and self.shares[-1][1] < 0.5 and now - self.shares[-1][0] < 3 * SECOND
+        return short and self.use(now) < 0.97 and not self.mates_short(now)
+
+    def mates_short(self, now):
+        return any(m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND
+                   for m in self.rack.streamers if m is not self)
+
 
 class Playback:
     def __init__(self, id, plan, title, top, due):
@@ -114,11 +166,12 @@
         for e in entries:
             s = self.streamers.get(e.id)
             if s is None:
-                rack = self.racks.setdefault(e.cell % max(1, self.d.links.racks), Rack())
-                s = self.streamers[e.id] = Streamer(e, rack)
+                links = self.d.links
+                rack = self.racks.setdefault(e.cell % max(1, links.racks), Rack(links.uplink_kb))
+                s = self.streamers[e.id] = Streamer(e, rack, self.d)
             if e.started != s.listed.started:
                 s.down, s.slot = None, None
-                s.others.clear()
+                s.heard.clear()
             s.listed = e
         for s in self.streamers.values():
             s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
@@ -207,10 +260,8 @@
     def told_share(self, now, streamer, share):
         s = self.streamers.get(streamer)
         if s and share is not None and 0 <= share <= 1:
-            s.short = (now, share) if share < 0.98 else None
-            if s.short:
-                self._short(now, s)
-                self.stale[s.rack] = None
+            self._delivered(now, s, share)
+            self.stale[s.rack] = None
         return self._go(now)
 
     def viewer_left(self, now, id):
@@ -305,7 +356,7 @@
         if not plan.repeatable:
             able = [s for s in able if not s.gap] or able
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
-        use = {s: self._use(s) for s in able}
+        use = {s: s.use(now) for s in able}
         able.sort(key=lambda s: (use[s], self._chance()))
         rest = []
         while able:
@@ -317,8 +368,7 @@
                 return self._send(now, pb, s, rung)
             rest.append(s)
         for s in rest:
-            rate = self._rate(plan, plan.floor)
-            if self._use(s) + rate / self._link(s) <= 1:
+            if s.asked(now) + self._rate(plan, plan.floor) <= s.limit():
                 return self._send(now, pb, s, plan.floor)
         return False
 
@@ -404,9 +454,9 @@
         """A report: what others ask is what was asked then, less what own playbacks asked then."""
         at = now if fresh else now - self.d.links.lag
         if link is not None and 0 <= link < 100:
-            s.others.append(max(0.0, link * self._link(s) - self._own_at(s, at)))
+            s.heard.append((now, max(0.0, link * s.limit() - s.own(at))))
         if uplink is not None and 0.05 < uplink < 100:
-            s.rack.seen.append((now, self._rack_asked(s.rack, at) / uplink))
+            s.rack.seen.append((now, s.rack.asked(now, at) / uplink))
         self.stale[s.rack] = None
 
     def _chance(self):
@@ -416,79 +466,50 @@
     def _rate(self, plan, rung):
         return self.d.ladder.rates[rung] * plan.scale
 
-    def _link(self, s):
-        return max(1.0, self.d.links.unit_kb * (s.listed.weight if s.listed.weight > 0 else 1.0))
-
     def _note_own(self, now, s):
-        s.own.append((now, sum(self._rate(pb.plan, pb.rung) for pb in s.playbacks)))
-
-    def _own_at(self, s, at):
-        return next((kb for t, kb in reversed(s.own) if t <= at), s.own[0][1])
-
-    def _others(self, s):
-        if not s.others:  # nothing heard yet: the other controllers do as this one
-            return s.own[-1][1] * (self.d.controllers - 1)
-        return sum(s.others) / len(s.others)
-
-    def _asked(self, s):
-        return self._others(s) + s.own[-1][1]
-
-    def _use(self, s):
-        return self._asked(s) / self._link(s)
-
-    def _rack_asked(self, rack, at):
-        return sum(self._others(s) + self._own_at(s, at) for s in rack.streamers)
-
-    def _uplink(self, rack):
-        told = self.d.links.uplink_kb
-        if not rack.seen:
-            return told
-        gave = sum(kb for _, kb in rack.seen) / len(rack.seen)
-        return min(max(gave, told / 8), told * 2)
+        s.asks.append((now, sum(self._rate(pb.plan, pb.rung) for pb in s.playbacks)))
 
-    def _short(self, now, s):
-        """A short-delivery note: its link is short, or the rack's uplink where the link has room."""
+    def _delivered(self, now, s, share):
+        """A short-delivery note. It corrects the uplink where the link has room and the rack's others
+        are short too; where they are not, it is the streamer itself that stands still."""
+        before = s.shares[-1][1] if s.shares else 1.0
+        s.shares.append((now, share))
         at = now - self.d.links.lag
-        share = max(0.2, s.short[1])
-        mates = [m for m in s.rack.streamers if m is not s and m.playbacks]
-        also = [m for m in mates if m.short and now - m.short[0] < 3 * SECOND]
-        asked = self._others(s) + self._own_at(s, at)
-        if asked / self._link(s) < 0.97 and (also or not mates):
-            if not s.rack.seen or now - s.rack.seen[-1][0] > self.d.links.lag + SECOND:
-                s.rack.seen.append((now, self._rack_asked(s.rack, at) * share))
-        elif asked / self._link(s) < 1 / share:
-            s.others.append(max(0.0, self._link(s) / share - self._own_at(s, at)))
+        if share >= 0.98 or share >= before:
+            return  # a share that rises says that the last cut works
+        if s.stuck(now):
+            self._badly(now, s, Ending.ERRED)
+        elif s.use(now) < 0.97 and (s.mates_short(now) or share > 0.5):
+            rack = s.rack
+            if not rack.seen or now - rack.seen[-1][0] > self.d.links.lag:
+                gave = rack.asked(now, at) * share
+                rack.seen.clear()
+                rack.seen.append((now, gave))
 
     # ---- the companion ----
 
     # DESIGN's mark: links and uplinks are filled to nine tenths
     MARK = 0.9
 
-    def _budget(self, limit, others, own):
-        """What own playbacks may ask of a link: all but the others' part, or, over the mark, a fair cut."""
-        mark = self.MARK * limit
-        return max(mark - others, mark * own / (own + others) if own else 0.0)
+    def _budget(self, now, at):
+        """What own playbacks may ask of a link or uplink: all but the others' part, or, over the mark,
+        a cut in proportion."""
+        own, asked, mark = at.own(), at.asked(now), self.MARK * at.limit(now)
+        return max(mark - (asked - own), mark * own / asked if asked else 0.0)
 
     def _fair(self, now, rack, pb=None, s=None):
         """The rungs that earn most when all own playbacks of a rack share it, a newcomer included."""
-        room, rack_others, rack_own = {}, 0.0, 0.0
-        for m in rack.streamers:
-            others, own = self._others(m), m.own[-1][1]
-            rack_others, rack_own = rack_others + others, rack_own + own
-            room[m] = self._budget(self._link(m), others, own)
-        room[rack] = self._budget(self._uplink(rack), rack_others, rack_own)
-        all_of = [p for m in rack.streamers for p in m.playbacks] + ([pb] if pb else [])
+        room = {at: self._budget(now, at) for at in [rack, *rack.streamers]}
+        all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
         rungs, steps = {}, []
-        for n, p in enumerate(all_of):
-            at = s if p is pb else p.streamer
+        for n, (p, at) in enumerate(all_of):
             rungs[p] = p.plan.floor
             room[at] -= self._rate(p.plan, p.plan.floor)
             room[rack] -= self._rate(p.plan, p.plan.floor)
             self._next_step(steps, n, p, p.plan.floor)
         while steps:
             _, n, rung, kb = heapq.heappop(steps)
-            p = all_of[n]
-            at = s if p is pb else p.streamer
+            p, at = all_of[n]
             if kb <= room[at] and kb <= room[rack]:
                 room[at] -= kb
                 room[rack] -= kb
@@ -505,9 +526,7 @@
 
     def _room(self, now, s):
         """Free kB a second under the mark, on the link and on the uplink."""
-        rack = s.rack
-        return min(self.MARK * self._link(s) - self._asked(s),
-                   self.MARK * self._uplink(rack) - self._rack_asked(rack, now))
+        return min(self.MARK * at.limit(now) - at.asked(now) for at in (s, s.rack))
 
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
@@ -527,14 +546,12 @@
         rising = now - rack.raised > 2 * SECOND
         cut, room = {}, {}
         for at in [rack, *rack.streamers]:
-            asked = self._rack_asked(rack, now) if at is rack else self._asked(at)
-            own = sum(m.own[-1][1] for m in rack.streamers) if at is rack else at.own[-1][1]
-            limit = self._uplink(rack) if at is rack else self._link(at)
+            asked, own, limit = at.asked(now), at.own(), at.limit(now)
             cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit else 0.0
             room[at] = max(0.0, self.MARK * limit - asked) / self.d.controllers if rising else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
-            if pb.state is not State.PLAYING:
+            if pb.state is not State.PLAYING or s.stuck(now):
                 continue
             if pb.rung > fair and max(cut[s], cut[rack]) > 0:
                 kb = self._rate(pb.plan, pb.rung) - self._rate(pb.plan, fair)
