--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -97,12 +97,14 @@
         return next((kb for t, kb in reversed(self.asks) if t <= at), self.asks[0][1])
 
     def others(self, now):
-        """The blend: after 15 s the last reports fade, in another 15 s, into what this controller asks of it, times the others.
+        """The blend: the last reports fade, in 15 s, into what this controller asks of it, times the others.
         Guards against a streamer shut out for good by the last thing that was heard of it."""
         guess = self.own() * (self.d.controllers - 1)
+        if self.listed.standing is Standing.GONE or self.down is not None:
+            return 0.0  # what is gone carries nothing of its rack's uplink
         if not self.heard:
             return guess
-        old = min(1.0, max(0.0, (now - self.heard[-1][0]) / (15 * SECOND) - 1))
+        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND))
         return (1 - old) * sum(kb for _, kb in self.heard) / len(self.heard) + old * guess
 
     def asked(self, now, at=None):
