--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -78,6 +78,7 @@
         self.listed, self.rack, self.d = listed, rack, deployment
         self.playbacks = {}  # playback -> None, in order; set-ups out included
         self.asks = deque([(0, 0.0)], maxlen=64)  # (time, own link demand from then on)
+        self.typical = 0.0  # what others ask of a streamer on the average
         self.heard = deque(maxlen=2)  # (time, what others asked of its link): the last reports
         self.count = 0  # set-ups since the server list changed
         self.shares = deque(maxlen=2)  # (time, share) of the last notes on delivery
@@ -97,15 +98,14 @@
         return next((kb for t, kb in reversed(self.asks) if t <= at), self.asks[0][1])
 
     def others(self, now):
-        """The blend: the last reports fade, in 15 s, into what this controller asks of it, times the others.
+        """The blend: the last reports fade, in 15 s, into what others usually ask of a streamer here.
         Guards against a streamer shut out for good by the last thing that was heard of it."""
-        guess = self.own() * (self.d.controllers - 1)
         if self.listed.standing is Standing.GONE or self.down is not None:
             return 0.0  # what is gone carries nothing of its rack's uplink
         if not self.heard:
-            return guess
+            return self.typical
         old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND))
-        return (1 - old) * sum(kb for _, kb in self.heard) / len(self.heard) + old * guess
+        return (1 - old) * sum(kb for _, kb in self.heard) / len(self.heard) + old * self.typical
 
     def asked(self, now, at=None):
         return self.others(now) + self.own(at)
@@ -326,6 +326,7 @@
         due = now >= self.next_scan
         if due:
             self.next_scan = now + 50 * MS
+            self._average()
             for rack in self.stale:
                 self._companion(now, rack)
             self.stale.clear()
@@ -471,6 +472,14 @@
     def _note_own(self, now, s):
         s.asks.append((now, sum(self._rate(pb.plan, pb.rung) for pb in s.playbacks)))
 
+    def _average(self):
+        ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
+        told = [kb for s in ready for _, kb in s.heard]
+        own = sum(s.own() for s in ready) * (self.d.controllers - 1)
+        usual = sum(told) / len(told) if told else own / max(1, len(ready))
+        for s in ready:
+            s.typical = usual
+
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
         are short too; where they are not, it is the streamer itself that stands still."""
