--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -558,7 +558,9 @@
         cut, room = {}, {}
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
-            cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit else 0.0
+            # an uplink's told figure is a mean: only one that was measured lately takes from what plays
+            sure = at is not rack or (rack.seen and now - rack.seen[-1][0] < 5 * SECOND)
+            cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit and sure else 0.0
             room[at] = max(0.0, self.MARK * limit - asked) / self.d.controllers if rising else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
