--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -376,14 +376,16 @@
         return False
 
     def _send(self, now, pb, s, rung):
+        plan = pb.plan
         pb.tries += 1
         if pb.tries > 1:
             self.extra.append(now)
         pb.streamer, pb.rung, pb.out = s, rung, True
         pb.trail.append(s)
         pb.time_out = pb.due - now
-        if pb.plan.repeatable:
-            pb.time_out = min(pb.time_out, self._patience())
+        if plan.repeatable:
+            # room for a second try before the startup target
+            pb.time_out = min(pb.time_out, self._patience(), plan.startup_target // 2)
         s.count += 1
         if s.gap:
             s.next_try = now + s.gap
@@ -394,10 +396,11 @@
 
     def _patience(self):
         """How long a silence is still usual, by the answers seen before."""
-        # three spreads over the mean: one good set-up in a hundred is cut off at most
+        # six spreads over the mean: set-ups that wait their turn have a long tail, and those cut off
+        # are missing from the samples
         mean = sum(self.answers) / len(self.answers)
         spread = (sum((a - mean) ** 2 for a in self.answers) / len(self.answers)) ** 0.5
-        return int(max(1.5 * mean, mean + 3 * spread, 150 * MS))
+        return int(max(mean + 6 * spread, 250 * MS))
 
     def _extra_left(self, now):
         rules = self.d.rules
@@ -485,15 +488,16 @@
         are short too; where they are not, it is the streamer itself that stands still."""
         before = s.shares[-1][1] if s.shares else 1.0
         s.shares.append((now, share))
-        at = now - self.d.links.lag
         if share >= 0.98 or share >= before:
             return  # a share that rises says that the last cut works
+        rack, lag = s.rack, self.d.links.lag
         if s.stuck(now):
             self._badly(now, s, Ending.ERRED)
         elif s.use(now) < 0.97 and (s.mates_short(now) or share > 0.5):
-            rack = s.rack
-            if not rack.seen or now - rack.seen[-1][0] > self.d.links.lag:
-                gave = rack.asked(now, at) * share
+            # notes are smoothed over some seconds: their fall goes on about twice as far, and what
+            # they tell in the 3 s after a correction is still the old shortage
+            if not rack.seen or now - rack.seen[-1][0] > lag + 3 * SECOND:
+                gave = rack.asked(now, now - lag) * max(0.3, share - 2 * (min(before, 1.0) - share))
                 rack.seen.clear()
                 rack.seen.append((now, gave))
 
