--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -119,6 +119,9 @@
         short = self.shares and self.shares[-1][1] < 0.5 and now - self.shares[-1][0] < 3 * SECOND
         return short and self.use(now) < 0.97 and not self.mates_short(now)
 
+    def alone(self):
+        return not any(m.playbacks for m in self.rack.streamers if m is not self)
+
     def mates_short(self, now):
         return any(m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND
                    for m in self.rack.streamers if m is not self)
@@ -493,9 +496,9 @@
         rack, lag = s.rack, self.d.links.lag
         if s.stuck(now):
             self._badly(now, s, Ending.ERRED)
-        elif s.use(now) < 0.97 and (s.mates_short(now) or share > 0.5):
-            # notes are smoothed over some seconds: their fall goes on about twice as far, and what
-            # they tell in the 3 s after a correction is still the old shortage
+        # notes are smoothed over some seconds: their fall goes on about twice as far, and what they tell
+        # in the 3 s after a correction is still the old shortage
+        elif s.use(now) < 0.97 and (s.mates_short(now) or s.alone()):
             if not rack.seen or now - rack.seen[-1][0] > lag + 3 * SECOND:
                 gave = rack.asked(now, now - lag) * max(0.3, share - 2 * (min(before, 1.0) - share))
                 rack.seen.clear()
