--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -153,11 +153,8 @@
             if id in inst.told:
                 inst.told[id][1] = int(x)
             return c.told_rung(now, id, int(x))
-
-        if sort == 3:
-            return c.told_link(now, id, streamer, x)
-        if sort == 4:
-            return c.told_uplink(now, id, streamer, x)
+        if sort in (3, 4):
+            return c.told_use(now, id, streamer, *((x, None) if sort == 3 else (None, x)))
         return []
 
     def memo(self, inst, now, f):
@@ -177,6 +174,7 @@
 CALLS = {
     name: getattr(Host, name)
     for name in (
-        "endpoints", "new_request", "existing", "accepted", "done", "gone", "ring", "status_note", "memo", "echo",
+        "endpoints", "new_request", "existing", "accepted", "done", "gone",
+        "ring", "status_note", "memo", "echo",
     )
 }
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -10,6 +10,7 @@
 from collections import deque
 from dataclasses import replace
 from enum import Enum
+from weakref import WeakValueDictionary
 
 from .interface import Ending, Standing
 
@@ -119,30 +120,22 @@
         short = self.shares and self.shares[-1][1] < 0.5 and now - self.shares[-1][0] < 3 * SECOND
         return short and self.use(now) < 0.97 and not self.mates_short(now)
 
-    def alone(self):
-        return not any(m.playbacks for m in self.rack.streamers if m is not self)
-
     def mates_short(self, now):
-        return any(m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND
-                   for m in self.rack.streamers if m is not self)
+        mates = [m for m in self.rack.streamers if m is not self]
+        return any(m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND for m in mates)
 
 
 class Playback:
     def __init__(self, id, plan, title, top, due):
         self.id, self.plan, self.title, self.top, self.due = id, plan, title, top, due
         self.state = State.HELD
-        self.streamer = None
-        self.rung = plan.floor
-        self.tries = 0
-        self.time_out = 0
-        self.come_back = 0
-        self.trail = []  # streamers tried already
+        self.streamer, self.rung, self.trail = None, plan.floor, []  # the trail: streamers tried already
+        self.tries, self.time_out, self.come_back = 0, 0, 0
         self.hold_until = due
         self.stepped = 0  # when its rung last changed
         self.ends = 0  # when it is likely to end; 0: not known
         self.since = 0  # when it began to play, or to be tried
-        self.may_have_run = False
-        self.out = False  # a set-up is out
+        self.may_have_run, self.out = False, False  # out: a set-up, or what plays from it
 
 
 class Controller:
@@ -150,7 +143,8 @@
         self.d = deployment
         self.born = now
         self.began_empty = True  # no playback was handed over: a restart with an old list
-        self.streamers, self.racks, self.titles, self.playbacks = {}, {}, {}, {}
+        self.streamers, self.racks, self.playbacks = {}, {}, {}
+        self.titles = WeakValueDictionary()
         self.open = {}  # playbacks held or trying, in order
         self.stale = {}  # racks with news for the companion
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
@@ -168,10 +162,10 @@
             for id, s in self.streamers.items():
                 if id not in listed:
                     s.listed = replace(s.listed, standing=Standing.GONE)
+        links = self.d.links
         for e in entries:
             s = self.streamers.get(e.id)
             if s is None:
-                links = self.d.links
                 rack = self.racks.setdefault(e.cell % max(1, links.racks), Rack(links.uplink_kb))
                 s = self.streamers[e.id] = Streamer(e, rack, self.d)
             if e.started != s.listed.started:
@@ -183,24 +177,22 @@
         return self._go(now)
 
     def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
-        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left)
+        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
         self.taken.append(now)
         # DESIGN's brief hold; 2 s is its figure
         pb.hold_until = min(now + 2 * SECOND, pb.due)
-        pb.ends = now + hint if hint else 0
         if pb.rung > top or time_left <= 0:
             self._reject(now, pb)
         return self._go(now, pb)
 
     def handed_over(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved, streamer):
         self.began_empty = False
-        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left)
+        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
         pb.tries, pb.streamer = 1, self.streamers.get(streamer)
         if pb.streamer is None:  # listed nowhere: nothing can be said of it
             self._turn(now, pb, State.ENDED)
             return self._go(now)
         pb.out = True
-        pb.ends = now + hint if hint else 0
         self._turn(now, pb, State.PLAYING)
         self._seat(now, pb)
         return self._go(now)
@@ -246,22 +238,13 @@
             self._note_own(now, pb.streamer)
         return []
 
-    def told_link(self, now, id, streamer, use):
-        if streamer in self.streamers:
-            self._hear(now, self.streamers[streamer], use, None, self._fresh(now, id))
-        return self._go(now)
-
-    def told_uplink(self, now, id, streamer, use):
-        if streamer in self.streamers:
-            self._hear(now, self.streamers[streamer], None, use, self._fresh(now, id))
+    def told_use(self, now, id, streamer, link, uplink):
+        pb, s = self.playbacks.get(id), self.streamers.get(streamer)
+        if s:
+            # told at a set-up (so in the same batch, or the next) it is of now; later it is of the past
+            self._hear(now, s, link, uplink, pb is not None and now - pb.since < 50 * MS)
         return self._go(now)
 
-    def _fresh(self, now, id):
-        """Figures told at a set-up are of now; later ones describe the past."""
-        pb = self.playbacks.get(id)
-        # 50 ms: set-up and note come in the same batch, or the next
-        return pb is not None and now - pb.since < 50 * MS
-
     def told_share(self, now, streamer, share):
         s = self.streamers.get(streamer)
         if s and share is not None and 0 <= share <= 1:
@@ -286,10 +269,11 @@
 
     # ---- playbacks ----
 
-    def _take(self, now, id, plan, title, first_cell, cells, top, time_left):
+    def _take(self, now, id, plan, title, first_cell, cells, top, time_left, hint):
         span = frozenset((first_cell + j) % max(1, self.d.links.cells) for j in range(cells))
-        t = self.titles.setdefault((title, span), Title(span))
+        t = self.titles.setdefault((title, span), Title(span))  # kept while a playback holds it
         pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left)
+        pb.ends = now + hint if hint else 0
         self.open[pb] = None
         return pb
 
@@ -333,7 +317,7 @@
             for rack in self.stale:
                 self._companion(now, rack)
             self.stale.clear()
-        for pb in list(self.open) if due else [pb] if pb in self.open else []:
+        for pb in list(self.open if due else {pb} & self.open.keys()):
             if pb.state is State.TRYING:
                 if now >= pb.due:  # paid, and out at the abandon time: it can only be aborted
                     self._turn(now, pb, State.ABORTED)
@@ -464,7 +448,7 @@
         at = now if fresh else now - self.d.links.lag
         if link is not None and 0 <= link < 100:
             s.heard.append((now, max(0.0, link * s.limit() - s.own(at))))
-        if uplink is not None and 0.05 < uplink < 100:
+        if uplink is not None and 0.05 < uplink < 100:  # what it gave, by what was asked
             s.rack.seen.append((now, s.rack.asked(now, at) / uplink))
         self.stale[s.rack] = None
 
@@ -498,7 +482,7 @@
             self._badly(now, s, Ending.ERRED)
         # notes are smoothed over some seconds: their fall goes on about twice as far, and what they tell
         # in the 3 s after a correction is still the old shortage
-        elif s.use(now) < 0.97 and (s.mates_short(now) or s.alone()):
+        elif s.use(now) < 0.97 and s.mates_short(now):
             if not rack.seen or now - rack.seen[-1][0] > lag + 3 * SECOND:
                 gave = rack.asked(now, now - lag) * max(0.3, share - 2 * (min(before, 1.0) - share))
                 rack.seen.clear()
@@ -542,19 +526,13 @@
             gain = p.plan.revenue * (ladder.revenue[rung + 1] - ladder.revenue[rung])
             heapq.heappush(steps, (-gain / max(kb, 1e-9), n, rung + 1, kb))
 
-    def _room(self, now, s):
-        """Free kB a second under the mark, on the link and on the uplink."""
-        return min(self.MARK * at.limit(now) - at.asked(now) for at in (s, s.rack))
-
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
-        free = self._room(now, s)
+        free = min(self.MARK * at.limit(now) - at.asked(now) for at in (s, s.rack))
         if self._rate(pb.plan, pb.plan.floor) > free:
             return pb.plan.floor, False
         fair = self._fair(now, s.rack, pb, s)[pb]
-        for rung in range(fair, pb.plan.floor - 1, -1):
-            if self._rate(pb.plan, rung) <= free:
-                return rung, True
+        return next(r for r in range(fair, -1, -1) if self._rate(pb.plan, r) <= free), True
 
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -21,9 +21,9 @@
     try_ended(now, id, ending, took, finished, streamer, report)   a set-up, or what played, is over
     told_rung(now, id, rung)                   the rung in force of a playback handed over
     told_share(now, streamer, share)           the share of their rates playbacks got there a while ago
-    told_link(now, id, streamer, use)          link asked over given: now at the set-up of playback
+    told_use(now, id, streamer, link, uplink)  asked over given, of its link and of the uplink of its
+                                               rack (None: not told): now at the set-up of playback
                                                `id`, later a while ago
-    told_uplink(now, id, streamer, use)        the same of the uplink of its rack
     viewer_left(now, id)                       nothing more is owed for it
     peer_message(now, author, data)            from another controller of the same deployment
     probe_answer(now, streamer, ending, took, report)
