--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -34,15 +34,11 @@
     State.TRYING: (State.HELD, State.PLAYING, State.ABORTED, State.ENDED),
     State.PLAYING: (State.MOVING, State.ENDED),
     State.MOVING: (State.ENDED,),
-    State.REJECTED: (State.ENDED,),
-    State.ABORTED: (State.ENDED,),
-    State.ENDED: (),
 }
 
 
 class Title:
-    def __init__(self, cells):
-        self.cells = cells
+    def __init__(self):
         self.seated = {}  # plan name -> playbacks held, set-ups included
 
 
@@ -62,9 +58,13 @@
         # a figure of the past creeps back to the told one, 2% a second: a trouble ends unannounced,
         # and a jump back would overrun an uplink that is simply smaller
         if gave < self.told:
-            gave = min(self.told, gave * (1 + 0.02 * max(0, now - self.seen[-1][0]) / SECOND))
+            gave = min(self.told, gave * (1 + 0.02 * self.settled(now) / SECOND))
         return min(max(gave, self.told / 8), self.told * 2)
 
+    def settled(self, now):
+        """For how long no correction has come."""
+        return now - self.seen[-1][0] if self.seen else now
+
     def own(self, at=None):
         return sum(s.own(at) for s in self.streamers)
 
@@ -94,19 +94,15 @@
         return max(1.0, self.d.links.unit_kb * (weight if 0.01 < weight < 100 else 1.0))
 
     def own(self, at=None):
-        if at is None:
-            return self.asks[-1][1]
-        return next((kb for t, kb in reversed(self.asks) if t <= at), self.asks[0][1])
+        return next((kb for t, kb in reversed(self.asks) if at is None or t <= at), self.asks[0][1])
 
     def others(self, now):
         """The blend: the last reports fade, in 15 s, into what others usually ask of a streamer here.
         Guards against a streamer shut out for good by the last thing that was heard of it."""
         if self.listed.standing is Standing.GONE or self.down is not None:
             return 0.0  # what is gone carries nothing of its rack's uplink
-        if not self.heard:
-            return self.typical
-        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND))
-        return (1 - old) * sum(kb for _, kb in self.heard) / len(self.heard) + old * self.typical
+        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND)) if self.heard else 1.0
+        return (1 - old) * sum(kb for _, kb in self.heard) / max(1, len(self.heard)) + old * self.typical
 
     def asked(self, now, at=None):
         return self.others(now) + self.own(at)
@@ -128,15 +124,15 @@
 class Playback:
     def __init__(self, id, plan, title, top, due):
         self.id, self.plan, self.title, self.top, self.due = id, plan, title, top, due
-        self.state = State.HELD
-        self.streamer, self.rung, self.trail = None, plan.floor, []  # the trail: streamers tried already
+        self.state, self.streamer, self.rung, self.hold_until = State.HELD, None, plan.floor, due
+        self.trail = []  # streamers tried already
         self.tries, self.time_out, self.come_back = 0, 0, 0
-        self.hold_until = due
-        self.stepped = 0  # when its rung last changed
-        self.ends = 0  # when it is likely to end; 0: not known
-        self.since = 0  # when it began to play, or to be tried
+        self.since, self.stepped, self.ends = 0, 0, 0  # changes of state, of rung; likely end
         self.may_have_run, self.out = False, False  # out: a set-up, or what plays from it
 
+    def spoilt(self):
+        return self.may_have_run and not self.plan.repeatable
+
 
 class Controller:
     def __init__(self, deployment, now):
@@ -152,9 +148,7 @@
         self.lives = deque(maxlen=64)  # how long playbacks played
         self.draws = 0
         self.wake_at, self.next_scan = None, 0
-        self.changed = []
-
-    # ---- the calls ----
+        self.changed = {}  # playbacks to hand back, in order
 
     def list_changed(self, now, entries, whole, old):
         listed = {e.id for e in entries}
@@ -189,12 +183,10 @@
         self.began_empty = False
         pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
         pb.tries, pb.streamer = 1, self.streamers.get(streamer)
-        if pb.streamer is None:  # listed nowhere: nothing can be said of it
-            self._turn(now, pb, State.ENDED)
-            return self._go(now)
-        pb.out = True
-        self._turn(now, pb, State.PLAYING)
-        self._seat(now, pb)
+        pb.out = pb.streamer is not None  # one listed nowhere: nothing can be said of it
+        self._turn(now, pb, State.PLAYING if pb.out else State.ENDED)
+        if pb.out:
+            self._seat(now, pb)
         return self._go(now)
 
     def playing(self, now, id, took):
@@ -215,8 +207,7 @@
         pb.out = False
         self._unseat(now, pb)
         trying = pb.state is State.TRYING
-        if trying and ending.may_have_run:
-            pb.may_have_run = True
+        pb.may_have_run |= trying and ending.may_have_run
         if ending in (Ending.ERRED, Ending.SILENT, Ending.UNREACHED, Ending.BROKEN):
             self._badly(now, pb.streamer, ending)
         if pb.state in FINAL:
@@ -227,7 +218,7 @@
             self._turn(now, pb, State.ENDED)
         elif trying:
             self._turn(now, pb, State.HELD)
-            if pb.may_have_run and not pb.plan.repeatable:
+            if pb.spoilt():
                 self._turn(now, pb, State.ABORTED)  # paid at set-up: neither resent nor rejected
         return self._go(now, pb)
 
@@ -267,33 +258,30 @@
     def wake(self, now):
         return self._go(now)
 
-    # ---- playbacks ----
-
     def _take(self, now, id, plan, title, first_cell, cells, top, time_left, hint):
-        span = frozenset((first_cell + j) % max(1, self.d.links.cells) for j in range(cells))
-        t = self.titles.setdefault((title, span), Title(span))  # kept while a playback holds it
+        t = self.titles.setdefault(title, Title())  # kept while a playback holds it
         pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left)
+        pb.cells = {(first_cell + j) % max(1, self.d.links.cells) for j in range(cells)}
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
         return pb
 
     def _turn(self, now, pb, state):
         """Every change of a playback's state."""
-        assert state in ROUTES[pb.state], f"{pb.state} to {state}"
+        assert state in ROUTES.get(pb.state, ()), f"{pb.state} to {state}"
         pb.state, pb.since = state, now
         if state not in (State.HELD, State.TRYING):
             self.open.pop(pb, None)
         if state in FINAL and not pb.out:
             self.playbacks.pop(pb.id)
         if state is not State.ENDED:
-            self.changed.append(pb)
+            self.changed[pb] = None
 
     def _reject(self, now, pb):
         """Rejecting is the last word only where nothing can have run; otherwise the playback aborts."""
         # a second is about the pause viewers make by themselves; less brings them back into the same jam
         pb.come_back = min(SECOND, self.d.rules.longest_advice)
-        spoilt = pb.may_have_run and not pb.plan.repeatable
-        self._turn(now, pb, State.ABORTED if spoilt else State.REJECTED)
+        self._turn(now, pb, State.ABORTED if pb.spoilt() else State.REJECTED)
 
     def _seat(self, now, pb):
         pb.streamer.playbacks[pb] = None
@@ -317,24 +305,20 @@
             for rack in self.stale:
                 self._companion(now, rack)
             self.stale.clear()
-        for pb in list(self.open if due else {pb} & self.open.keys()):
-            if pb.state is State.TRYING:
-                if now >= pb.due:  # paid, and out at the abandon time: it can only be aborted
-                    self._turn(now, pb, State.ABORTED)
-            elif not self._place(now, pb) and now >= pb.hold_until:
-                self._reject(now, pb)
+        for p in list(self.open if due else {pb} & self.open.keys()):
+            if p.state is State.TRYING and now >= p.due:  # still out at the abandon time
+                self._turn(now, p, State.ABORTED)
+            elif p.state is State.HELD and not self._place(now, p) and now >= p.hold_until:
+                self._reject(now, p)
         self.wake_at = self.next_scan if self.open or self.stale else None
-        changed, self.changed = self.changed, []
-        return changed
-
-    # ---- the choice of a streamer ----
+        changed, self.changed = self.changed, {}
+        return list(changed)
 
     def _place(self, now, pb):
         """The least-loaded holder off the trail, at the companion's rung; False: hold."""
         plan, rules = pb.plan, self.d.rules
-        holders = [s for s in self.streamers.values() if s.listed.cell in pb.title.cells]
-        ready = [s for s in holders if s.listed.standing is Standing.READY]
-        fresh = [s for s in ready if s not in pb.trail]
+        ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
+        fresh = [s for s in ready if s.listed.cell in pb.cells and s not in pb.trail]
         if not fresh or pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
             self._reject(now, pb)  # every holder is on the trail, or no try is left
             return True
@@ -342,22 +326,21 @@
             return False
         if pb.tries and not self._extra_left(now):
             return False
-        able = [s for s in fresh if self._cold_turn(now, s) and (not s.gap or now >= s.next_try)]
+        able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s)]
         if not plan.repeatable:
             able = [s for s in able if not s.gap] or able
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
         use = {s: s.use(now) for s in able}
         able.sort(key=lambda s: (use[s], self._chance()))
-        rest = []
+        order = []
         while able:
-            near = [s for s in able if use[s] <= use[able[0]] + 0.05]
-            s = min(near, key=lambda s: s.count)
-            able.remove(s)
-            rung, room = self._rung(now, pb, s)
-            if room:
+            order.append(min((s for s in able if use[s] <= use[able[0]] + 0.05), key=lambda s: s.count))
+            able.remove(order[-1])
+        for s in order:
+            rung = self._rung(now, pb, s)
+            if rung is not None:
                 return self._send(now, pb, s, rung)
-            rest.append(s)
-        for s in rest:
+        for s in order:
             if s.asked(now) + self._rate(plan, plan.floor) <= s.limit():
                 return self._send(now, pb, s, plan.floor)
         return False
@@ -374,8 +357,7 @@
             # room for a second try before the startup target
             pb.time_out = min(pb.time_out, self._patience(), plan.startup_target // 2)
         s.count += 1
-        if s.gap:
-            s.next_try = now + s.gap
+        s.next_try = now + s.gap
         s.slot = self._slot(now, s)
         self._turn(now, pb, State.TRYING)
         self._seat(now, pb)
@@ -398,8 +380,6 @@
                 times.popleft()
         return len(self.extra) + 1 <= rules.extra_tries + rules.extra_share * len(self.taken)
 
-    # ---- health and cold starts ----
-
     def _badly(self, now, s, ending):
         """Set aside: guards against streamers that err at once (and look idle), hang or are gone."""
         # from 1 s, doubling to 8 s: a handful of tries lost in the longest trouble
@@ -441,8 +421,6 @@
         used = s.slot is not None and int(s.slot) == int(at)
         return mine and at % 1 < 0.34 and not used
 
-    # ---- estimates ----
-
     def _hear(self, now, s, link, uplink, fresh):
         """A report: what others ask is what was asked then, less what own playbacks asked then."""
         at = now if fresh else now - self.d.links.lag
@@ -465,10 +443,9 @@
     def _average(self):
         ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
         told = [kb for s in ready for _, kb in s.heard]
-        own = sum(s.own() for s in ready) * (self.d.controllers - 1)
-        usual = sum(told) / len(told) if told else own / max(1, len(ready))
+        told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # nothing yet: as this one
         for s in ready:
-            s.typical = usual
+            s.typical = sum(told) / len(told)
 
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
@@ -482,13 +459,10 @@
             self._badly(now, s, Ending.ERRED)
         # notes are smoothed over some seconds: their fall goes on about twice as far, and what they tell
         # in the 3 s after a correction is still the old shortage
-        elif s.use(now) < 0.97 and s.mates_short(now):
-            if not rack.seen or now - rack.seen[-1][0] > lag + 3 * SECOND:
-                gave = rack.asked(now, now - lag) * max(0.3, share - 2 * (min(before, 1.0) - share))
-                rack.seen.clear()
-                rack.seen.append((now, gave))
-
-    # ---- the companion ----
+        elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 3 * SECOND:
+            gave = rack.asked(now, now - lag) * max(0.3, share - 2 * (min(before, 1.0) - share))
+            rack.seen.clear()
+            rack.seen.append((now, gave))
 
     # DESIGN's mark: links and uplinks are filled to nine tenths
     MARK = 0.9
@@ -530,9 +504,9 @@
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
         free = min(self.MARK * at.limit(now) - at.asked(now) for at in (s, s.rack))
         if self._rate(pb.plan, pb.plan.floor) > free:
-            return pb.plan.floor, False
+            return None
         fair = self._fair(now, s.rack, pb, s)[pb]
-        return next(r for r in range(fair, -1, -1) if self._rate(pb.plan, r) <= free), True
+        return next(r for r in range(fair, -1, -1) if self._rate(pb.plan, r) <= free)
 
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
@@ -540,11 +514,11 @@
         # with the uplink first; what is over goes down, and of free room each controller takes its part,
         # once in 2 s: as long as reports need to show what the others did with theirs
         rising = now - rack.raised > 2 * SECOND
-        cut, room = {}, {}
+        cut, room, ladder = {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
             # an uplink's told figure is a mean: only one that was measured lately takes from what plays
-            sure = at is not rack or (rack.seen and now - rack.seen[-1][0] < 5 * SECOND)
+            sure = at is not rack or rack.settled(now) < 5 * SECOND
             cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit and sure else 0.0
             room[at] = max(0.0, self.MARK * limit - asked) / self.d.controllers if rising else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
@@ -557,21 +531,17 @@
                 self._step(now, pb, fair)
             # 8 s between steps of one playback keep to the three a minute that the design allows
             elif pb.rung < fair and now - pb.stepped > 8 * SECOND:
+                left = pb.ends - now if pb.ends else sum(self.lives) / max(1, len(self.lives)) or 20 * SECOND
                 for rung in range(fair, pb.rung, -1):
                     kb = self._rate(pb.plan, rung) - self._rate(pb.plan, pb.rung)
-                    if kb <= min(room[s], room[rack]) and self._pays(now, pb, rung):
+                    gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
+                    # it must earn twice what the change costs, as the time left is a guess
+                    if kb <= min(room[s], room[rack]) and gain * left > 2 * ladder.switch_cost:
                         room[s], room[rack], rack.raised = room[s] - kb, room[rack] - kb, now
                         self._step(now, pb, rung)
                         break
 
-    def _pays(self, now, pb, rung):
-        """Whether a rise earns more than the change costs, in the time that is left."""
-        ladder = self.d.ladder
-        left = pb.ends - now if pb.ends else sum(self.lives) / max(1, len(self.lives)) or 20 * SECOND
-        gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
-        return gain * left > 2 * ladder.switch_cost
-
     def _step(self, now, pb, rung):
         pb.rung, pb.stepped = rung, now
-        self.changed.append(pb)
+        self.changed[pb] = None
         self._note_own(now, pb.streamer)
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,190 @@
+"""One small test for each guard: what it was put there for, without the bench."""
+
+from helpers import MS, Front, S, line
+
+from terndrift.decide import State
+from terndrift.interface import Ending, Standing
+
+
+def test_the_least_loaded_holder_is_taken_and_the_count_breaks_near_ties():
+    front = Front()
+    front.use(0, link=0.8)
+    for n in (1, 2, 3):
+        front.use(n, link=0.3 if n == 2 else 0.6)
+    assert front.want().streamer.listed.id == 2
+    front = Front()
+    assert len({front.want(title=str(n)).streamer for n in range(4)}) == 4
+
+
+def test_a_list_change_zeroes_the_counts():
+    front = Front()
+    front.want()
+    front.list([line(9, cell=1)])
+    assert all(s.count == 0 for s in front.c.streamers.values())
+
+
+def test_a_refusal_puts_the_streamer_on_the_trail_and_the_last_one_ends_in_rejection():
+    front = Front(streamers=2, extra_tries=9)
+    pb = front.want()
+    first = pb.streamer
+    front.end(pb, Ending.FULL)
+    assert pb.streamer is not first and pb.tries == 2
+    front.end(pb, Ending.FULL)
+    assert pb.state is State.REJECTED and pb.come_back
+
+
+def test_the_rung_keeps_link_and_uplink_under_the_mark():
+    front = Front(streamers=1)
+    front.use(0, link=0.65)  # 0.25 of 2000 kB are left under the mark: the 400 kB rung
+    assert front.want().rung == 2
+    front = Front(streamers=1)
+    front.use(0, link=0.92)
+    assert front.want().rung == 0, "the lowest rung, if the link has room"
+    front.use(0, link=1.3)
+    held = front.want()
+    assert held.state is State.HELD
+    front.pass_time(1900 * MS)
+    assert held.state is State.HELD
+    front.pass_time(200 * MS)
+    assert held.state is State.REJECTED
+
+
+def test_an_erring_streamer_looks_idle_but_gets_a_trickle_that_doubles():
+    front = Front(streamers=2, extra_tries=None)
+    bad = front.want()
+    sick = bad.streamer
+    front.end(bad, Ending.ERRED)
+    for _ in range(3):
+        assert front.want(title="u").streamer is not sick
+    gap = sick.gap
+    front.pass_time(gap)
+    front.c._well(front.now, sick)
+    assert sick.gap == gap // 2
+    for _ in range(4):
+        front.c._well(front.now, sick)
+    assert sick.gap == 0, "back on the ordinary path"
+
+
+def test_a_silent_set_up_leaves_room_for_another_before_the_startup_target():
+    front = Front(extra_tries=9)
+    pb = front.want()
+    assert pb.time_out <= S // 2
+    front.pass_time(pb.time_out + 50 * MS)
+    assert pb.tries == 2
+
+
+def test_a_paid_set_up_that_may_have_run_is_aborted_and_never_resent():
+    front = Front()
+    pb = front.want("paid")
+    assert pb.time_out == 4 * S
+    front.end(pb, Ending.BROKEN)
+    assert pb.state is State.ABORTED and pb.tries == 1
+    pb = front.want("paid", title="u")
+    front.end(pb, Ending.FULL)
+    assert pb.state is State.TRYING and pb.tries == 2
+    pb = front.want("paid", title="v", left=S)
+    front.now += S + 10 * MS  # the outcome is late: nobody else answers
+    front.c.wake(front.now)
+    assert pb.state is State.ABORTED
+
+
+def test_seats_hold_until_the_outcome():
+    front = Front()
+    one, two = front.want("paid"), front.want("paid")
+    front.play(one)
+    assert front.want("paid").state is State.HELD
+    assert front.want("paid", title="other").state is State.TRYING
+    front.end(two, Ending.FULL)
+    assert two.state is State.TRYING and sum(one.title.seated.values()) == 2
+
+
+def test_nothing_goes_to_streamers_that_drain_or_are_gone():
+    front = Front(streamers=2)
+    front.list([line(0, 0, Standing.DRAINING)])
+    assert {front.want().streamer.listed.id for _ in range(3)} == {1}
+    front.list([], whole=True)
+    assert front.want() is None, "no holder is left: rejected at once"
+
+
+def test_a_cold_streamer_is_paced_by_all_controllers_together():
+    for warm, started in ((True, 1), (False, 0)):  # listed as new; or this controller is new itself
+        times = []
+        for rank in (0, 1):
+            front = Front(streamers=1, rank=rank, warm=warm)
+            front.list([line(0, started=started and front.now)])
+            for _ in range(200):
+                front.now += 50 * MS
+                pb = front.want(left=50 * MS)
+                if pb and pb.state is State.TRYING:
+                    times.append(front.now)
+                    front.play(pb)
+                    front.end(pb, Ending.PLAYED_OUT, finished=True)
+        times.sort()
+        window, pace = 2 * S, 20 / 10
+        for n, t in enumerate(times):
+            inside = sum(t <= u < t + window for u in times[n:])
+            x = min(1.0, (t - times[0] + 3 * S) / (10 * S))
+            assert inside <= 3 * pace * (0.4 + 0.6 * x) * 2 + 1
+        assert times
+
+
+def test_a_streamer_that_fell_is_paced_before_the_list_tells():
+    front = Front(streamers=1, extra_tries=None)
+    pb = front.want()
+    front.end(pb, Ending.UNREACHED)
+    fallen = front.c.streamers[0]
+    assert fallen.down is not None
+    front.pass_time(8 * S)
+    front.c._well(front.now, fallen)
+    assert fallen.listed.started == front.now, "its warm-up counts from its first answer"
+
+
+def test_a_streamer_shut_out_by_its_last_report_comes_back():
+    front = Front(streamers=2)
+    front.use(0, link=3.0)
+    front.use(1, link=0.5)
+    front.pass_time(20 * S)
+    front.use(1, link=0.5)
+    assert front.c.streamers[0].use(front.now) < 1.8, "the figure fades"
+
+
+def shorten(front, shares):
+    for n in (0, 2, 1, 3):
+        front.play(front.want(title=str(n)))
+    for share in shares:
+        front.now += S
+        front.share(0, share)
+    return front.c.streamers[0]
+
+
+def test_a_short_note_alone_is_not_blamed_on_the_uplink():
+    s = shorten(Front(racks=1), [0.9, 0.8])
+    assert not s.rack.seen
+    front = Front(racks=1)
+    s = shorten(front, [0.9])
+    front.share(1, 0.9)
+    assert s.rack.limit(front.now) < 9000, "with a rack mate short too, it is"
+    front.pass_time(60 * S)
+    assert s.rack.limit(front.now) == 9000, "and it comes back"
+
+
+def test_a_streamer_that_delivers_nothing_is_set_aside():
+    s = shorten(Front(racks=1), [0.6, 0.4])
+    assert s.gap and not s.rack.seen
+
+
+def test_a_handed_over_playback_keeps_its_rung_until_there_is_room_to_rise():
+    front = Front(streamers=1)
+    front.model.taken(front.now, "old", "free", "t", front.now + 900 * S)
+    front.c.handed_over(front.now, "old", "free", "t", 0, 4, 3, 900 * S, 0, False, 0)
+    front.c.told_rung(front.now, "old", 1)
+    pb = front.c.playbacks["old"]
+    assert pb.rung == 1 and pb.title.seated["free"] == 1
+    front.pass_time(3 * S)
+    front.use(0, link=0.1)
+    front.pass_time(S)
+    assert pb.rung == 3
+    front.use(0, link=2.0)
+    front.pass_time(S)
+    front.c.wake(front.now)
+    assert pb.rung < 3, "and is lowered when its link is over"
