--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -520,7 +520,9 @@
             # an uplink's told figure is a mean: only one that was measured lately takes from what plays
             sure = at is not rack or rack.settled(now) < 5 * SECOND
             cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit and sure else 0.0
-            room[at] = max(0.0, self.MARK * limit - asked) / self.d.controllers if rising else 0.0
+            # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
+            fill = self.MARK - (0 if at is rack and sure else 0.1)
+            room[at] = max(0.0, fill * limit - asked) / self.d.controllers if rising else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
             if pb.state is not State.PLAYING or s.stuck(now):
