--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -87,6 +87,7 @@
         self.next_try = 0
         self.down = None  # when seen to fail: it may come back cold before the list says so
         self.slot = None  # the last turn used while it is cold
+        self.raised = 0  # when own playbacks there last rose
         rack.streamers.append(self)
 
     def limit(self, now=0):
@@ -110,6 +111,9 @@
     def use(self, now):
         return self.asked(now) / self.limit()
 
+    def told_since(self, at):
+        return self.heard and self.heard[-1][0] - self.d.links.lag > at
+
     def stuck(self, now):
         """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
         # half: less than a weak uplink was ever seen to give while its neighbours went on well
@@ -513,7 +517,6 @@
         rungs = self._fair(now, rack)
         # with the uplink first; what is over goes down, and of free room each controller takes its part,
         # once in 2 s: as long as reports need to show what the others did with theirs
-        rising = now - rack.raised > 2 * SECOND
         cut, room, ladder = {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
@@ -522,6 +525,7 @@
             cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit and sure else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
             fill = self.MARK - (0 if at is rack and sure else 0.1)
+            rising = now - rack.raised > 2 * SECOND if at is rack else at.told_since(at.raised)
             room[at] = max(0.0, fill * limit - asked) / self.d.controllers if rising else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
@@ -539,7 +543,8 @@
                     gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
                     # it must earn twice what the change costs, as the time left is a guess
                     if kb <= min(room[s], room[rack]) and gain * left > 2 * ladder.switch_cost:
-                        room[s], room[rack], rack.raised = room[s] - kb, room[rack] - kb, now
+                        room[s], room[rack] = room[s] - kb, room[rack] - kb
+                        s.raised = rack.raised = now
                         self._step(now, pb, rung)
                         break
 
