--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -345,7 +345,9 @@
             if rung is not None:
                 return self._send(now, pb, s, rung)
         for s in order:
-            if s.asked(now) + self._rate(plan, plan.floor) <= s.limit():
+            # DESIGN looks at the link alone here; an uplink that was measured full would starve them all
+            lines = [s, s.rack] if s.rack.settled(now) < 5 * SECOND else [s]
+            if all(at.asked(now) + self._rate(plan, plan.floor) <= at.limit(now) for at in lines):
                 return self._send(now, pb, s, plan.floor)
         return False
 
