--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -7,7 +7,7 @@
 
 import heapq
 import zlib
-from collections import Counter, deque
+from collections import deque
 from dataclasses import replace
 from enum import Enum
 from weakref import WeakValueDictionary
@@ -519,14 +519,7 @@
         rungs = self._fair(now, rack)
         # with the uplink first; what is over goes down, and of free room each controller takes its part,
         # once in 2 s: as long as reports need to show what the others did with theirs
-        cut, room, spent, ladder = {}, {}, Counter(), self.d.ladder
-        luck = (self._chance() + 1) / 2**32
-
-        def part(at):
-            """The own part of free room; by chance one step of all of it, where the part holds none."""
-            mine = room[at] / self.d.controllers
-            return mine - spent[at] if spent[at] else min(room[at], mine / luck)
-
+        cut, room, ladder = {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
             # an uplink's told figure is a mean: only one that was measured lately takes from what plays
@@ -535,7 +528,7 @@
             # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
             fill = self.MARK - (0 if at is rack and sure else 0.1)
             rising = now - rack.raised > 2 * SECOND if at is rack else at.told_since(at.raised)
-            room[at] = max(0.0, fill * limit - asked) if rising else 0.0
+            room[at] = max(0.0, fill * limit - asked) / self.d.controllers if rising else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
             if pb.state is not State.PLAYING or s.stuck(now):
@@ -551,8 +544,8 @@
                     kb = self._rate(pb.plan, rung) - self._rate(pb.plan, pb.rung)
                     gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
                     # it must earn twice what the change costs, as the time left is a guess
-                    if kb <= min(part(s), part(rack)) and gain * left > 2 * ladder.switch_cost:
-                        spent[s], spent[rack] = spent[s] + kb, spent[rack] + kb
+                    if kb <= min(room[s], room[rack]) and gain * left > 2 * ladder.switch_cost:
+                        room[s], room[rack] = room[s] - kb, room[rack] - kb
                         s.raised = rack.raised = now
                         self._step(now, pb, rung)
                         break
