Uplinks and the average demand count at most what a link carries

Cause: a link that slows down reports many times its due; that figure poisoned the estimates of its rack and of every streamer not heard of. Should also hold against absurd reports.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -69,7 +69,8 @@
         return sum(s.own(at) for s in self.streamers)
 
     def asked(self, now, at=None):
-        return sum(s.asked(now, at) for s in self.streamers)
+        # what a link cannot carry does not reach the uplink: one that slows down reports many times its due
+        return sum(min(s.asked(now, at), s.limit()) for s in self.streamers)
 
 
 class Streamer:
@@ -448,7 +449,7 @@
 
     def _average(self):
         ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
-        told = [kb for s in ready for _, kb in s.heard]
+        told = [min(kb, s.limit()) for s in ready for _, kb in s.heard]
         told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # nothing yet: as this one
         for s in ready:
             s.typical = sum(told) / len(told)
