Cuts begin a tenth over what a link gives and stop at it; uplink figures creep back 4% a second

Cause: reports are noisy by some percent, and each cut for nothing costs two changes of rung and the rate between them.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -55,10 +55,10 @@
         if not self.seen:
             return self.told
         gave = sum(kb for _, kb in self.seen) / len(self.seen)
-        # a figure of the past creeps back to the told one, 2% a second: a trouble ends unannounced,
+        # a figure of the past creeps back to the told one, 4% a second: a trouble ends unannounced,
         # and a jump back would overrun an uplink that is simply smaller
         if gave < self.told:
-            gave = min(self.told, gave * (1 + 0.02 * self.settled(now) / SECOND))
+            gave = min(self.told, gave * (1 + 0.04 * self.settled(now) / SECOND))
         return min(max(gave, self.told / 8), self.told * 2)
 
     def settled(self, now):
@@ -523,9 +523,10 @@
         cut, room, ladder = {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
-            # an uplink's told figure is a mean: only one that was measured lately takes from what plays
+            # an uplink's told figure is a mean: only one that was measured lately takes from what plays;
+            # a tenth over may be the noise of reports, and a cut for nothing costs two steps
             sure = at is not rack or rack.settled(now) < 5 * SECOND
-            cut[at] = (asked - self.MARK * limit) * own / asked if asked > limit and sure else 0.0
+            cut[at] = (asked - limit) * own / asked if asked > 1.1 * limit and sure else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
             fill = self.MARK - (0 if at is rack and sure else 0.1)
             rising = now - rack.raised > 2 * SECOND if at is rack else at.told_since(at.raised)
