--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -55,14 +55,12 @@
         if not self.seen:
             return self.told
         gave = sum(kb for _, kb in self.seen) / len(self.seen)
-        # a figure of the past creeps back to the told one, 4% a second: a trouble ends unannounced,
-        # and a jump back would overrun an uplink that is simply smaller
+        # back to the told one, 4% a second: a trouble ends unannounced, a jump would overrun a small uplink
         if gave < self.told:
             gave = min(self.told, gave * (1 + 0.04 * self.settled(now) / SECOND))
         return min(max(gave, self.told / 8), self.told * 2)
 
-    def settled(self, now):
-        """For how long no correction has come."""
+    def settled(self, now):  # for how long no correction has come
         return now - self.seen[-1][0] if self.seen else now
 
     def own(self, at=None):
@@ -112,9 +110,6 @@
     def use(self, now):
         return self.asked(now) / self.limit()
 
-    def told_since(self, at):
-        return self.heard and self.heard[-1][0] - self.d.links.lag > at
-
     def stuck(self, now):
         """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
         # half: less than a weak uplink was ever seen to give while its neighbours went on well
@@ -372,8 +367,7 @@
 
     def _patience(self):
         """How long a silence is still usual, by the answers seen before."""
-        # six spreads over the mean: set-ups that wait their turn have a long tail, and those cut off
-        # are missing from the samples
+        # six spreads over the mean: the tail is long, and set-ups cut off are missing from the samples
         mean = sum(self.answers) / len(self.answers)
         spread = (sum((a - mean) ** 2 for a in self.answers) / len(self.answers)) ** 0.5
         return int(max(mean + 6 * spread, 250 * MS))
@@ -518,19 +512,17 @@
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
         rungs = self._fair(now, rack)
-        # with the uplink first; what is over goes down, and of free room each controller takes its part,
-        # once in 2 s: as long as reports need to show what the others did with theirs
+        # what is over goes down; of free room each controller takes its part, then waits for news of it
         cut, room, ladder = {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
-            # an uplink's told figure is a mean: only one that was measured lately takes from what plays;
-            # a tenth over may be the noise of reports, and a cut for nothing costs two steps
+            # a told uplink is a mean: only one measured lately cuts; a tenth over may be noise of reports
             sure = at is not rack or rack.settled(now) < 5 * SECOND
             cut[at] = (asked - limit) * own / asked if asked > 1.1 * limit and sure else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
             fill = self.MARK - (0 if at is rack and sure else 0.1)
-            rising = now - rack.raised > 2 * SECOND if at is rack else at.told_since(at.raised)
-            room[at] = max(0.0, fill * limit - asked) / self.d.controllers if rising else 0.0
+            told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 0
+            room[at] = max(0.0, fill * limit - asked) / self.d.controllers if told > at.raised else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
             if pb.state is not State.PLAYING or s.stuck(now):
