--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -117,8 +117,10 @@
         return short and self.use(now) < 0.97 and not self.mates_short(now)
 
     def mates_short(self, now):
-        mates = [m for m in self.rack.streamers if m is not self]
-        return any(m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND for m in mates)
+        """A weak uplink starves all of its rack alike: at least half of those with own playbacks."""
+        mates = [m for m in self.rack.streamers if m is not self and m.playbacks]
+        short = [m for m in mates if m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND]
+        return 2 * len(short) >= max(1, len(mates))
 
 
 class Playback:
