Handed-over playbacks rise once before the first report comes

Until then own demand times the controllers stands for it, as DESIGN's blend has it. It could harm where controllers are loaded very unevenly.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -189,6 +189,7 @@
         self._turn(now, pb, State.PLAYING if pb.out else State.ENDED)
         if pb.out:
             self._seat(now, pb)
+            self.stale[pb.streamer.rack] = None
         return self._go(now)
 
     def playing(self, now, id, took):
@@ -523,7 +524,7 @@
             cut[at] = (asked - limit) * own / asked if asked > 1.1 * limit and sure else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
             fill = self.MARK - (0 if at is rack and sure else 0.1)
-            told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 0
+            told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 1
             room[at] = max(0.0, fill * limit - asked) / self.d.controllers if told > at.raised else 0.0
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
