Whole turns on cold streamers where the fall limit leaves room for two

Cause: the pace of cold streamers was used to a tenth, so new streamers of a release stayed empty while the old ones were full. Where the stated window and multiple hold two set-ups more than the pace, a controller may use its whole turn.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -119,8 +119,8 @@
     def mates_short(self, now):
         """A weak uplink starves all of its rack alike: at least half of those with own playbacks."""
         mates = [m for m in self.rack.streamers if m is not self and m.playbacks]
-        short = [m for m in mates if m.shares and m.shares[-1][1] < 0.98 and now - m.shares[-1][0] < 3 * SECOND]
-        return 2 * len(short) >= max(1, len(mates))
+        late = [m.shares[-1] for m in mates if m.shares]
+        return 2 * sum(share < 0.98 and now - t < 3 * SECOND for t, share in late) >= max(1, len(mates))
 
 
 class Playback:
@@ -170,7 +170,7 @@
             s.listed = e
         for s in self.streamers.values():
             s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
-        return self._go(now)
+        return self.wake(now)
 
     def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
         pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
@@ -179,7 +179,7 @@
         pb.hold_until = min(now + 2 * SECOND, pb.due)
         if pb.rung > top or time_left <= 0:
             self._reject(now, pb)
-        return self._go(now, pb)
+        return self.wake(now, pb)
 
     def handed_over(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved, streamer):
         self.began_empty = False
@@ -190,7 +190,7 @@
         if pb.out:
             self._seat(now, pb)
             self.stale[pb.streamer.rack] = None
-        return self._go(now)
+        return self.wake(now)
 
     def playing(self, now, id, took):
         pb = self.playbacks.get(id)
@@ -198,7 +198,7 @@
             self.answers.append(took)
             self._well(now, pb.streamer)
             self._turn(now, pb, State.PLAYING)
-        return self._go(now)
+        return self.wake(now)
 
     def try_ended(self, now, id, ending, took, finished, streamer, report):
         pb = self.playbacks.get(id)
@@ -206,7 +206,7 @@
         if s and report:
             self._hear(now, s, report.get("link"), report.get("uplink"), True)
         if pb is None or not pb.out:
-            return self._go(now)
+            return self.wake(now)
         pb.out = False
         self._unseat(now, pb)
         trying = pb.state is State.TRYING
@@ -223,7 +223,7 @@
             self._turn(now, pb, State.HELD)
             if pb.spoilt():
                 self._turn(now, pb, State.ABORTED)  # paid at set-up: neither resent nor rejected
-        return self._go(now, pb)
+        return self.wake(now, pb)
 
     def told_rung(self, now, id, rung):
         pb = self.playbacks.get(id)
@@ -237,29 +237,22 @@
         if s:
             # told at a set-up (so in the same batch, or the next) it is of now; later it is of the past
             self._hear(now, s, link, uplink, pb is not None and now - pb.since < 50 * MS)
-        return self._go(now)
+        return self.wake(now)
 
     def told_share(self, now, streamer, share):
         s = self.streamers.get(streamer)
         if s and share is not None and 0 <= share <= 1:
             self._delivered(now, s, share)
             self.stale[s.rack] = None
-        return self._go(now)
+        return self.wake(now)
 
     def viewer_left(self, now, id):
         pb = self.playbacks.get(id)
         if pb and pb.state not in FINAL:
             self._turn(now, pb, State.ENDED)
-        return self._go(now)
+        return self.wake(now)
 
-    def peer_message(self, now, author, data):
-        return []
-
-    def probe_answer(self, now, streamer, ending, took, report):
-        return []
-
-    def wake(self, now):
-        return self._go(now)
+    probe_answer = peer_message = lambda self, now, *_: []  # none are asked for, so none are expected
 
     def _take(self, now, id, plan, title, first_cell, cells, top, time_left, hint):
         t = self.titles.setdefault(title, Title())  # kept while a playback holds it
@@ -298,9 +291,9 @@
             pb.title.seated[pb.plan.name] -= 1
             self._note_own(now, pb.streamer)
 
-    def _go(self, now, pb=None):
+    def wake(self, now, pb=None):
         """Give held playbacks their next try or their answer, and say when to be called again."""
-        # each is tried as it comes and then every 50 ms: bounds the work of a long queue
+        # each is tried as it comes and then every 50 ms, to bound the work of a long queue
         due = now >= self.next_scan
         if due:
             self.next_scan = now + 50 * MS
@@ -399,14 +392,16 @@
             s.down, s.slot = None, None
             s.listed = replace(s.listed, started=now)
 
+    def _places(self, s):
+        return self.d.links.places.get(s.listed.kind) or min(self.d.links.places.values(), default=8)
+
     def _slot(self, now, s):
         """Which set-up of the cold pace is due now, and how far into its turn; None: warm."""
         rules = self.d.rules
         start = s.listed.started
         if self.began_empty:
             start = max(start, self.born)  # guards a restart with an old list: any streamer may be new
-        places = self.d.links.places.get(s.listed.kind) or min(self.d.links.places.values(), default=8)
-        share = rules.cold_share
+        places, share = self._places(s), rules.cold_share
         if s.down is not None:
             return places * share * (now - s.down) / rules.cold_for
         if not start or now - start >= rules.cold_for:
@@ -416,14 +411,16 @@
         return places * (share * x + (1 - share) * x**3 / 3)
 
     def _cold_turn(self, now, s):
-        """Controllers take turns by rank at the cold pace, each in the first third of its turn, so that
-        all together stay under the stated multiple, without a word between them."""
-        at = self._slot(now, s)
+        """Controllers take turns by rank at the cold pace, so that all together stay under the stated
+        multiple without a word: a whole turn each where two running into a window fit, else a third."""
+        at, rules = self._slot(now, s), self.d.rules
         if at is None:
             return True
+        # set-ups the pace allows in a window, at the least warmth; a tenth of the limit is left unused
+        fit = self._places(s) * rules.cold_share * rules.fall_window / rules.cold_for
+        share = 1 if int(fit) + 2 <= 0.9 * rules.fall_multiple * fit else 0.34
         mine = int(at) % self.d.controllers == self.d.rank % self.d.controllers
-        used = s.slot is not None and int(s.slot) == int(at)
-        return mine and at % 1 < 0.34 and not used
+        return mine and at % 1 < share and (s.slot is None or int(s.slot) != int(at))
 
     def _hear(self, now, s, link, uplink, fresh):
         """A report: what others ask is what was asked then, less what own playbacks asked then."""
@@ -472,8 +469,7 @@
     MARK = 0.9
 
     def _budget(self, now, at):
-        """What own playbacks may ask of a link or uplink: all but the others' part, or, over the mark,
-        a cut in proportion."""
+        """What own playbacks may ask: all but the others' part, or, over the mark, a cut in proportion."""
         own, asked, mark = at.own(), at.asked(now), self.MARK * at.limit(now)
         return max(mark - (asked - own), mark * own / asked if asked else 0.0)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -39,7 +39,9 @@
     assert front.want().rung == 2
     front = Front(streamers=1)
     front.use(0, link=0.92)
-    assert front.want().rung == 0, "the lowest rung, if the link has room"
+    low = front.want()
+    assert low.rung == 0, "the lowest rung, if the link has room"
+    front.play(low)
     front.use(0, link=1.3)
     held = front.want()
     assert held.state is State.HELD
@@ -163,7 +165,9 @@
     front = Front(racks=1)
     s = shorten(front, [0.9])
     front.share(1, 0.9)
-    assert s.rack.limit(front.now) < 9000, "with a rack mate short too, it is"
+    assert not s.rack.seen, "nor are two of four that stand still"
+    front.share(2, 0.9)
+    assert s.rack.limit(front.now) < 9000, "with half of its rack mates short too, it is"
     front.pass_time(60 * S)
     assert s.rack.limit(front.now) == 9000, "and it comes back"
 
