A short note is taken at its word: the fall is no longer projected

Cause: projecting the fall of a smoothed share cut whole racks far below what their uplinks carry, and the rises back took many seconds.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -458,10 +458,9 @@
         rack, lag = s.rack, self.d.links.lag
         if s.stuck(now):
             self._badly(now, s, Ending.ERRED)
-        # notes are smoothed over some seconds: their fall goes on about twice as far, and what they tell
-        # in the 3 s after a correction is still the old shortage
+        # notes are smoothed over some seconds: what they tell in the 3 s after a correction is the old shortage
         elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 3 * SECOND:
-            gave = rack.asked(now, now - lag) * max(0.3, share - 2 * (min(before, 1.0) - share))
+            gave = rack.asked(now, now - lag) * max(0.3, share)
             rack.seen.clear()
             rack.seen.append((now, gave))
 
