--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -458,8 +458,8 @@
         rack, lag = s.rack, self.d.links.lag
         if s.stuck(now):
             self._badly(now, s, Ending.ERRED)
-        # notes are smoothed over some seconds: what they tell in the 3 s after a correction is the old shortage
-        elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 3 * SECOND:
+        # notes are smoothed over seconds: what they tell in the 2 s after a correction is the old shortage
+        elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 2 * SECOND:
             gave = rack.asked(now, now - lag) * max(0.3, share)
             rack.seen.clear()
             rack.seen.append((now, gave))
