--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -29,8 +29,6 @@
             elif name is State.PLAYING and pb.rung != told[1]:
                 out.append(f"quality corr={pb.id} tier_no={pb.rung}")
                 told[1] = pb.rung
-            elif name is State.MOVING:
-                out.append(f"go_away corr={pb.id}")
             elif name is State.REJECTED:
                 advice = f" hold_off_ns={pb.come_back}" if pb.come_back else ""
                 out.append(f"not_now corr={pb.id}{advice}")
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -22,18 +22,16 @@
     HELD = 0  # taken, waiting for room
     TRYING = 1  # one set-up is out
     PLAYING = 2
-    MOVING = 3  # being taken off its streamer
-    REJECTED = 4
-    ABORTED = 5
-    ENDED = 6  # nothing more is owed
+    REJECTED = 3
+    ABORTED = 4
+    ENDED = 5  # nothing more is owed
 
 
 FINAL = (State.REJECTED, State.ABORTED, State.ENDED)
 ROUTES = {  # the only changes of state there are
     State.HELD: (State.TRYING, State.PLAYING, State.REJECTED, State.ABORTED, State.ENDED),
     State.TRYING: (State.HELD, State.PLAYING, State.ABORTED, State.ENDED),
-    State.PLAYING: (State.MOVING, State.ENDED),
-    State.MOVING: (State.ENDED,),
+    State.PLAYING: (State.ENDED,),
 }
 
 
@@ -514,10 +512,12 @@
         cut, room, ladder = {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
-            # a told uplink is a mean: only one measured lately cuts; a tenth over may be noise of reports
+            # a told uplink is a mean: only one measured lately cuts. A tenth over may be noise of reports,
+            # but not where short notes measured it (one sample)
+            over = 1.03 if at is rack and len(rack.seen) == 1 else 1.1
             sure = at is not rack or rack.settled(now) < 5 * SECOND
-            cut[at] = (asked - limit) * own / asked if asked > 1.1 * limit and sure else 0.0
-            # rises leave a tenth for the next newcomer, but on an uplink whose room is known well
+            cut[at] = (asked - limit) * own / asked if asked > over * limit and sure else 0.0
+            # rises leave a tenth for the next newcomer, but on an uplink known well
             fill = self.MARK - (0 if at is rack and sure else 0.1)
             told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 1
             room[at] = max(0.0, fill * limit - asked) / self.d.controllers if told > at.raised else 0.0
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -7,7 +7,6 @@
     state TRYING    set the playback up at `streamer`, at `rung`, waiting `time_out` at most; `tries`
                     counts the set-ups so far, so a higher count than before is a new one to send
     state PLAYING   a `rung` other than the one last told is a change of rung
-    state MOVING    take the playback off its streamer; the viewer comes back as a new playback
     state REJECTED  answer "not now, come back after `come_back`" (0: no advice)
     state ABORTED   answer "failed"
 
