--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -70,8 +70,6 @@
 
 
 class Streamer:
-    """A streaming server as this controller sees it: its link, its set-ups, its health."""
-
     def __init__(self, listed, rack, deployment):
         self.listed, self.rack, self.d = listed, rack, deployment
         self.playbacks = {}  # playback -> None, in order; set-ups out included
@@ -92,7 +90,7 @@
         return max(1.0, self.d.links.unit_kb * (weight if 0.01 < weight < 100 else 1.0))
 
     def own(self, at=None):
-        return next((kb for t, kb in reversed(self.asks) if at is None or t <= at), self.asks[0][1])
+        return self.asks[-1][1] if at is None else next((kb for t, kb in reversed(self.asks) if t <= at), 0.0)
 
     def others(self, now):
         """The blend: the last reports fade, in 15 s, into what others usually ask of a streamer here.
@@ -291,7 +289,6 @@
 
     def wake(self, now, pb=None):
         """Give held playbacks their next try or their answer, and say when to be called again."""
-        # each is tried as it comes and then every 50 ms, to bound the work of a long queue
         due = now >= self.next_scan
         if due:
             self.next_scan = now + 50 * MS
@@ -299,11 +296,15 @@
             for rack in self.stale:
                 self._companion(now, rack)
             self.stale.clear()
+        tries = 32  # a scan's, every 50 ms, to bound the work of a long queue; the tried go to its end
         for p in list(self.open if due else {pb} & self.open.keys()):
             if p.state is State.TRYING and now >= p.due:  # still out at the abandon time
                 self._turn(now, p, State.ABORTED)
-            elif p.state is State.HELD and not self._place(now, p) and now >= p.hold_until:
-                self._reject(now, p)
+            elif p.state is State.HELD and (tries > 0 or now >= p.hold_until):
+                tries -= 1
+                self.open[p] = self.open.pop(p)
+                if not self._place(now, p) and now >= p.hold_until:
+                    self._reject(now, p)
         self.wake_at = self.next_scan if self.open or self.stale else None
         changed, self.changed = self.changed, {}
         return list(changed)
