Tidy: one place sends a rung, one change of state ends a spoilt try

The adapter wrote the change of rung in two branches; a paid try that may have run was turned held and then aborted; the average of the others' demand was worked out once for each streamer; an argument nobody gave is gone.

--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -20,20 +20,17 @@
     def encode(self, changed, out):
         for pb in changed:
             told = self.told.setdefault(pb.id, [0, pb.plan.floor])
-            name = pb.state
-            if name is State.TRYING and pb.tries > told[0]:
-                if pb.rung != told[1]:
-                    out.append(f"quality corr={pb.id} tier_no={pb.rung}")
-                out.append(f"relay corr={pb.id} streamer={pb.streamer.listed.id} allow_for_ns={pb.time_out}")
-                told[:] = pb.tries, pb.rung
-            elif name is State.PLAYING and pb.rung != told[1]:
+            if pb.state in (State.TRYING, State.PLAYING) and pb.rung != told[1]:
                 out.append(f"quality corr={pb.id} tier_no={pb.rung}")
                 told[1] = pb.rung
-            elif name is State.REJECTED:
+            if pb.state is State.TRYING and pb.tries > told[0]:
+                out.append(f"relay corr={pb.id} streamer={pb.streamer.listed.id} allow_for_ns={pb.time_out}")
+                told[0] = pb.tries
+            elif pb.state is State.REJECTED:
                 advice = f" hold_off_ns={pb.come_back}" if pb.come_back else ""
                 out.append(f"not_now corr={pb.id}{advice}")
                 self.told.pop(pb.id)
-            elif name is State.ABORTED:
+            elif pb.state is State.ABORTED:
                 out.append(f"respond_error corr={pb.id}")
                 self.told.pop(pb.id)
 
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -61,8 +61,8 @@
     def settled(self, now):  # for how long no correction has come
         return now - self.seen[-1][0] if self.seen else now
 
-    def own(self, at=None):
-        return sum(s.own(at) for s in self.streamers)
+    def own(self):
+        return sum(s.own() for s in self.streamers)
 
     def asked(self, now, at=None):
         # what a link cannot carry does not reach the uplink: one that slows down reports many times its due
@@ -216,9 +216,8 @@
                 self.lives.append(now - pb.since)
             self._turn(now, pb, State.ENDED)
         elif trying:
-            self._turn(now, pb, State.HELD)
-            if pb.spoilt():
-                self._turn(now, pb, State.ABORTED)  # paid at set-up: neither resent nor rejected
+            # paid at set-up, and it may have run: neither resent nor rejected
+            self._turn(now, pb, State.ABORTED if pb.spoilt() else State.HELD)
         return self.wake(now, pb)
 
     def told_rung(self, now, id, rung):
@@ -444,8 +443,9 @@
         ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
         told = [min(kb, s.limit()) for s in ready for _, kb in s.heard]
         told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # nothing yet: as this one
+        usual = sum(told) / max(1, len(told))
         for s in ready:
-            s.typical = sum(told) / len(told)
+            s.typical = usual
 
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
