A playback's fair rung is its part of the mark by number, the odd step by chance

Cause: a front took all room that it saw free on a link for its newcomer. Now the number of others is worked out from what they ask at the usual rate, and own playbacks share the mark by number. It also holds against any flood of newcomers after a break; it may leave room unused where the others' rates are far from the usual one. Draws of chance are mixed by a product, as crc32 alone orders the draws of two seeds alike.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -7,7 +7,7 @@
 
 import heapq
 import zlib
-from collections import deque
+from collections import Counter, deque
 from dataclasses import replace
 from enum import Enum
 from weakref import WeakValueDictionary
@@ -37,7 +37,7 @@
 
 class Title:
     def __init__(self):
-        self.seated = {}  # plan name -> playbacks held, set-ups included
+        self.seated = Counter()  # plan name -> playbacks held, set-ups included
 
 
 class Rack:
@@ -83,6 +83,7 @@
         self.down = None  # when seen to fail: it may come back cold before the list says so
         self.slot = None  # the last turn used while it is cold
         self.raised = 0  # when own playbacks there last rose
+        self.streamers = (self,)  # behind its link, as a rack has those behind its uplink
         rack.streamers.append(self)
 
     def limit(self, now=0):
@@ -120,8 +121,9 @@
 
 
 class Playback:
-    def __init__(self, id, plan, title, top, due):
+    def __init__(self, id, plan, title, top, due, luck):
         self.id, self.plan, self.title, self.top, self.due = id, plan, title, top, due
+        self.luck = luck  # where it stands, 0 to 1, among those that get the next rung by chance
         self.state, self.streamer, self.rung, self.hold_until = State.HELD, None, plan.floor, due
         self.trail = []  # streamers tried already
         self.tries, self.time_out, self.come_back = 0, 0, 0
@@ -134,8 +136,7 @@
 
 class Controller:
     def __init__(self, deployment, now):
-        self.d = deployment
-        self.born = now
+        self.d, self.born = deployment, now
         self.began_empty = True  # no playback was handed over: a restart with an old list
         self.streamers, self.racks, self.playbacks = {}, {}, {}
         self.titles = WeakValueDictionary()
@@ -144,7 +145,7 @@
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
         self.lives = deque(maxlen=64)  # how long playbacks played
-        self.draws = 0
+        self.draws, self.usual_kb = 0, 1.0
         self.wake_at, self.next_scan = None, 0
         self.changed = {}  # playbacks to hand back, in order
 
@@ -154,9 +155,8 @@
             for id, s in self.streamers.items():
                 if id not in listed:
                     s.listed = replace(s.listed, standing=Standing.GONE)
-        links = self.d.links
         for e in entries:
-            s = self.streamers.get(e.id)
+            s, links = self.streamers.get(e.id), self.d.links
             if s is None:
                 rack = self.racks.setdefault(e.cell % max(1, links.racks), Rack(links.uplink_kb))
                 s = self.streamers[e.id] = Streamer(e, rack, self.d)
@@ -171,8 +171,7 @@
     def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
         pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
         self.taken.append(now)
-        # DESIGN's brief hold; 2 s is its figure
-        pb.hold_until = min(now + 2 * SECOND, pb.due)
+        pb.hold_until = min(now + 2 * SECOND, pb.due)  # DESIGN's brief hold
         if pb.rung > top or time_left <= 0:
             self._reject(now, pb)
         return self.wake(now, pb)
@@ -229,8 +228,7 @@
 
     def told_use(self, now, id, streamer, link, uplink):
         pb, s = self.playbacks.get(id), self.streamers.get(streamer)
-        if s:
-            # told at a set-up (so in the same batch, or the next) it is of now; later it is of the past
+        if s:  # told at a set-up (so in the same batch, or the next) it is of now; later it is of the past
             self._hear(now, s, link, uplink, pb is not None and now - pb.since < 50 * MS)
         return self.wake(now)
 
@@ -238,7 +236,6 @@
         s = self.streamers.get(streamer)
         if s and share is not None and 0 <= share <= 1:
             self._delivered(now, s, share)
-            self.stale[s.rack] = None
         return self.wake(now)
 
     def viewer_left(self, now, id):
@@ -251,7 +248,7 @@
 
     def _take(self, now, id, plan, title, first_cell, cells, top, time_left, hint):
         t = self.titles.setdefault(title, Title())  # kept while a playback holds it
-        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left)
+        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left, self._chance())
         pb.cells = {(first_cell + j) % max(1, self.d.links.cells) for j in range(cells)}
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
@@ -276,8 +273,7 @@
 
     def _seat(self, now, pb):
         pb.streamer.playbacks[pb] = None
-        seated = pb.title.seated
-        seated[pb.plan.name] = seated.get(pb.plan.name, 0) + 1
+        pb.title.seated[pb.plan.name] += 1
         self._note_own(now, pb.streamer)
 
     def _unseat(self, now, pb):
@@ -311,12 +307,12 @@
     def _place(self, now, pb):
         """The least-loaded holder off the trail, at the companion's rung; False: hold."""
         plan, rules = pb.plan, self.d.rules
-        ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
-        fresh = [s for s in ready if s.listed.cell in pb.cells and s not in pb.trail]
+        holders = [s for s in self.streamers.values() if s.listed.cell in pb.cells and s not in pb.trail]
+        fresh = [s for s in holders if s.listed.standing is Standing.READY]
         if not fresh or pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
             self._reject(now, pb)  # every holder is on the trail, or no try is left
             return True
-        if plan.seats and pb.title.seated.get(plan.name, 0) >= plan.seats:
+        if plan.seats and pb.title.seated[plan.name] >= plan.seats:
             return False
         if pb.tries and not self._extra_left(now):
             return False
@@ -325,11 +321,8 @@
             able = [s for s in able if not s.gap] or able
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
         use = {s: s.use(now) for s in able}
-        able.sort(key=lambda s: (use[s], self._chance()))
-        order = []
-        while able:
-            order.append(min((s for s in able if use[s] <= use[able[0]] + 0.05), key=lambda s: s.count))
-            able.remove(order[-1])
+        tie = min(use.values(), default=0.0) + 0.05
+        order = sorted(able, key=lambda s: (max(use[s], tie), s.count, use[s], self._chance()))
         for s in order:
             rung = self._rung(now, pb, s)
             if rung is not None:
@@ -348,10 +341,9 @@
             self.extra.append(now)
         pb.streamer, pb.rung, pb.out = s, rung, True
         pb.trail.append(s)
-        pb.time_out = pb.due - now
-        if plan.repeatable:
-            # room for a second try before the startup target
-            pb.time_out = min(pb.time_out, self._patience(), plan.startup_target // 2)
+        # repeatable: room for a second try before the startup target
+        usual = min(self._patience(), plan.startup_target // 2) if plan.repeatable else pb.due
+        pb.time_out = min(pb.due - now, usual)
         s.count += 1
         s.next_try = now + s.gap
         s.slot = self._slot(now, s)
@@ -396,9 +388,8 @@
     def _slot(self, now, s):
         """Which set-up of the cold pace is due now, and how far into its turn; None: warm."""
         rules = self.d.rules
-        start = s.listed.started
-        if self.began_empty:
-            start = max(start, self.born)  # guards a restart with an old list: any streamer may be new
+        # guards a restart with an old list: any streamer may be new
+        start = max(s.listed.started, self.born) if self.began_empty else s.listed.started
         places, share = self._places(s), rules.cold_share
         if s.down is not None:
             return places * share * (now - s.down) / rules.cold_for
@@ -431,7 +422,8 @@
 
     def _chance(self):
         self.draws += 1
-        return zlib.crc32(f"{self.d.seed}:{self.draws}".encode())
+        # spread by a product: crc32 alone is linear, two seeds would order all their draws alike
+        return zlib.crc32(f"{self.d.seed}:{self.draws}".encode()) * 2654435761 % 2**32 / 2**32
 
     def _rate(self, plan, rung):
         return self.d.ladder.rates[rung] * plan.scale
@@ -443,6 +435,9 @@
         ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
         told = [min(kb, s.limit()) for s in ready for _, kb in s.heard]
         told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # nothing yet: as this one
+        scale, rates = sum(pb.plan.scale for s in ready for pb in s.playbacks), self.d.ladder.rates
+        usual = sum(s.own() for s in ready) / scale if scale else rates[len(rates) // 2]  # unknown: middle
+        self.usual_kb = max(usual, rates[0])
         usual = sum(told) / max(1, len(told))
         for s in ready:
             s.typical = usual
@@ -452,6 +447,7 @@
         are short too; where they are not, it is the streamer itself that stands still."""
         before = s.shares[-1][1] if s.shares else 1.0
         s.shares.append((now, share))
+        self.stale[s.rack] = None
         if share >= 0.98 or share >= before:
             return  # a share that rises says that the last cut works
         rack, lag = s.rack, self.d.links.lag
@@ -459,23 +455,23 @@
             self._badly(now, s, Ending.ERRED)
         # notes are smoothed over seconds: what they tell in the 2 s after a correction is the old shortage
         elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 2 * SECOND:
-            gave = rack.asked(now, now - lag) * max(0.3, share)
-            rack.seen.clear()
-            rack.seen.append((now, gave))
+            rack.seen = deque([(now, rack.asked(now, now - lag) * max(0.3, share))], maxlen=4)
 
-    # DESIGN's mark: links and uplinks are filled to nine tenths
-    MARK = 0.9
+    MARK = 0.9  # DESIGN's mark: links and uplinks are filled to nine tenths
 
-    def _budget(self, now, at):
-        """What own playbacks may ask: all but the others' part, or, over the mark, a cut in proportion."""
-        own, asked, mark = at.own(), at.asked(now), self.MARK * at.limit(now)
-        return max(mark - (asked - own), mark * own / asked if asked else 0.0)
+    def _budget(self, now, at, extra):
+        """What own playbacks may ask: their part of the mark by number. How many others there are is
+        told by what they ask, at the usual rate. Guards against first comers that take all free room."""
+        mine = sum(pb.plan.scale for s in at.streamers for pb in s.playbacks) + extra
+        others = max(0.0, at.asked(now) - at.own()) / self.usual_kb
+        return self.MARK * at.limit(now) * mine / max(mine + others, 1e-9)
 
     def _fair(self, now, rack, pb=None, s=None):
         """The rungs that earn most when all own playbacks of a rack share it, a newcomer included."""
-        room = {at: self._budget(now, at) for at in [rack, *rack.streamers]}
+        more = pb.plan.scale if pb else 0.0
+        room = {at: self._budget(now, at, more * (at in (s, rack))) for at in [rack, *rack.streamers]}
         all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
-        rungs, steps = {}, []
+        rungs, steps, drawn = {}, [], set()
         for n, (p, at) in enumerate(all_of):
             rungs[p] = p.plan.floor
             room[at] -= self._rate(p.plan, p.plan.floor)
@@ -484,18 +480,22 @@
         while steps:
             _, n, rung, kb = heapq.heappop(steps)
             p, at = all_of[n]
-            if kb <= room[at] and kb <= room[rack]:
+            tight = at if room[at] < room[rack] else rack
+            # the first step that does not fit is taken by chance, so that all controllers together fill it
+            if kb <= room[tight] or tight not in drawn and p.luck * kb < room[tight]:
                 room[at] -= kb
                 room[rack] -= kb
                 rungs[p] = rung
                 self._next_step(steps, n, p, rung)
+            else:
+                drawn.add(tight)
         return rungs
 
     def _next_step(self, steps, n, p, rung):
         if rung < min(p.top, len(self.d.ladder.rates) - 1):
-            ladder = self.d.ladder
+            earns = self.d.ladder.revenue
             kb = self._rate(p.plan, rung + 1) - self._rate(p.plan, rung)
-            gain = p.plan.revenue * (ladder.revenue[rung + 1] - ladder.revenue[rung])
+            gain = p.plan.revenue * (earns[rung + 1] - earns[rung])
             heapq.heappush(steps, (-gain / max(kb, 1e-9), n, rung + 1, kb))
 
     def _rung(self, now, pb, s):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -192,3 +192,14 @@
     front.pass_time(S)
     front.c.wake(front.now)
     assert pb.rung < 3, "and is lowered when its link is over"
+
+
+def test_a_newcomer_takes_its_part_of_the_link_by_number_and_the_odd_step_by_chance():
+    front, rungs = Front(streamers=1), []
+    for n in range(40):
+        front.use(0, link=0.4)  # two others at the usual 400 kB: a third of the mark is 600 kB
+        pb = front.want(title=str(n))
+        rungs.append(pb.rung)
+        front.play(pb)
+        front.end(pb, Ending.PLAYED_OUT, finished=True)
+    assert set(rungs) == {2, 3} and 10 <= rungs.count(2) <= 30, "though 1000 kB are free"
