A lone streamer's short note blames the uplink; odd rises by chance where the uplink is known

Cause: an uplink was blamed only with a rack mate in use that was short too. With a hundred fronts of a few playbacks each there is hardly ever a mate, so at full size nobody answered a weak uplink. With no mate in use the short streamer now speaks for its uplink (over half of its rates delivered; less is a streamer that stands still). It should also hold against any cause behind a rack (a switch, a shared disk); wrong blame lowers the figure of one rack at one front for a few seconds. Seats are counted when needed; the type for titles is gone.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -7,10 +7,10 @@
 
 import heapq
 import zlib
-from collections import Counter, deque
+from collections import deque
 from dataclasses import replace
 from enum import Enum
-from weakref import WeakValueDictionary
+from statistics import fmean, pstdev
 
 from .interface import Ending, Standing
 
@@ -35,11 +35,6 @@
 }
 
 
-class Title:
-    def __init__(self):
-        self.seated = Counter()  # plan name -> playbacks held, set-ups included
-
-
 class Rack:
     """Streamers behind one uplink, and what is asked of that uplink."""
 
@@ -47,12 +42,12 @@
         self.told = told
         self.streamers = []
         self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
-        self.raised = 0  # when own playbacks there last rose
+        self.raised = 0  # when own playbacks there last rose, or might have by chance
 
     def limit(self, now):
         if not self.seen:
             return self.told
-        gave = sum(kb for _, kb in self.seen) / len(self.seen)
+        gave = fmean(kb for _, kb in self.seen)
         # back to the told one, 4% a second: a trouble ends unannounced, a jump would overrun a small uplink
         if gave < self.told:
             gave = min(self.told, gave * (1 + 0.04 * self.settled(now) / SECOND))
@@ -98,8 +93,10 @@
         Guards against a streamer shut out for good by the last thing that was heard of it."""
         if self.listed.standing is Standing.GONE or self.down is not None:
             return 0.0  # what is gone carries nothing of its rack's uplink
-        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND)) if self.heard else 1.0
-        return (1 - old) * sum(kb for _, kb in self.heard) / max(1, len(self.heard)) + old * self.typical
+        if not self.heard:
+            return self.typical
+        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND))
+        return (1 - old) * fmean(kb for _, kb in self.heard) + old * self.typical
 
     def asked(self, now, at=None):
         return self.others(now) + self.own(at)
@@ -110,14 +107,17 @@
     def stuck(self, now):
         """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
         # half: less than a weak uplink was ever seen to give while its neighbours went on well
-        short = self.shares and self.shares[-1][1] < 0.5 and now - self.shares[-1][0] < 3 * SECOND
+        short = bool(self.shares) and self.shares[-1][1] < 0.5 and now - self.shares[-1][0] < 3 * SECOND
         return short and self.use(now) < 0.97 and not self.mates_short(now)
 
     def mates_short(self, now):
-        """A weak uplink starves all of its rack alike: at least half of those with own playbacks."""
+        """A weak uplink starves all of its rack alike: at least half of those with own playbacks. With none
+        there to tell, the uplink is blamed: where a front is seldom twice in a rack, nobody else cuts."""
         mates = [m for m in self.rack.streamers if m is not self and m.playbacks]
+        if not mates:
+            return self.shares[-1][1] >= 0.5
         late = [m.shares[-1] for m in mates if m.shares]
-        return 2 * sum(share < 0.98 and now - t < 3 * SECOND for t, share in late) >= max(1, len(mates))
+        return 2 * sum(share < 0.98 and now - t < 3 * SECOND for t, share in late) >= len(mates)
 
 
 class Playback:
@@ -139,7 +139,6 @@
         self.d, self.born = deployment, now
         self.began_empty = True  # no playback was handed over: a restart with an old list
         self.streamers, self.racks, self.playbacks = {}, {}, {}
-        self.titles = WeakValueDictionary()
         self.open = {}  # playbacks held or trying, in order
         self.stale = {}  # racks with news for the companion
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
@@ -151,10 +150,9 @@
 
     def list_changed(self, now, entries, whole, old):
         listed = {e.id for e in entries}
-        if whole:
-            for id, s in self.streamers.items():
-                if id not in listed:
-                    s.listed = replace(s.listed, standing=Standing.GONE)
+        for s in self.streamers.values():
+            if whole and s.listed.id not in listed:
+                s.listed = replace(s.listed, standing=Standing.GONE)
         for e in entries:
             s, links = self.streamers.get(e.id), self.d.links
             if s is None:
@@ -196,8 +194,7 @@
         return self.wake(now)
 
     def try_ended(self, now, id, ending, took, finished, streamer, report):
-        pb = self.playbacks.get(id)
-        s = self.streamers.get(streamer)
+        pb, s = self.playbacks.get(id), self.streamers.get(streamer)
         if s and report:
             self._hear(now, s, report.get("link"), report.get("uplink"), True)
         if pb is None or not pb.out:
@@ -247,8 +244,8 @@
     probe_answer = peer_message = lambda self, now, *_: []  # none are asked for, so none are expected
 
     def _take(self, now, id, plan, title, first_cell, cells, top, time_left, hint):
-        t = self.titles.setdefault(title, Title())  # kept while a playback holds it
-        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], t, top, now + time_left, self._chance())
+        luck, due = self._chance(), now + time_left
+        pb = self.playbacks[id] = Playback(id, self.d.plans[plan], title, top, due, luck)
         pb.cells = {(first_cell + j) % max(1, self.d.links.cells) for j in range(cells)}
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
@@ -273,19 +270,16 @@
 
     def _seat(self, now, pb):
         pb.streamer.playbacks[pb] = None
-        pb.title.seated[pb.plan.name] += 1
         self._note_own(now, pb.streamer)
 
     def _unseat(self, now, pb):
         if pb.streamer and pb in pb.streamer.playbacks:
             del pb.streamer.playbacks[pb]
-            pb.title.seated[pb.plan.name] -= 1
             self._note_own(now, pb.streamer)
 
     def wake(self, now, pb=None):
         """Give held playbacks their next try or their answer, and say when to be called again."""
-        due = now >= self.next_scan
-        if due:
+        if due := now >= self.next_scan:
             self.next_scan = now + 50 * MS
             self._average()
             for rack in self.stale:
@@ -312,7 +306,7 @@
         if not fresh or pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
             self._reject(now, pb)  # every holder is on the trail, or no try is left
             return True
-        if plan.seats and pb.title.seated[plan.name] >= plan.seats:
+        if plan.seats and self.seated(plan, pb.title) >= plan.seats:
             return False
         if pb.tries and not self._extra_left(now):
             return False
@@ -334,6 +328,9 @@
                 return self._send(now, pb, s, plan.floor)
         return False
 
+    def seated(self, plan, title):
+        return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
+
     def _send(self, now, pb, s, rung):
         plan = pb.plan
         pb.tries += 1
@@ -354,9 +351,7 @@
     def _patience(self):
         """How long a silence is still usual, by the answers seen before."""
         # six spreads over the mean: the tail is long, and set-ups cut off are missing from the samples
-        mean = sum(self.answers) / len(self.answers)
-        spread = (sum((a - mean) ** 2 for a in self.answers) / len(self.answers)) ** 0.5
-        return int(max(mean + 6 * spread, 250 * MS))
+        return int(max(fmean(self.answers) + 6 * pstdev(self.answers), 250 * MS))
 
     def _extra_left(self, now):
         rules = self.d.rules
@@ -434,11 +429,11 @@
     def _average(self):
         ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
         told = [min(kb, s.limit()) for s in ready for _, kb in s.heard]
-        told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # nothing yet: as this one
+        told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # until then: as this
         scale, rates = sum(pb.plan.scale for s in ready for pb in s.playbacks), self.d.ladder.rates
         usual = sum(s.own() for s in ready) / scale if scale else rates[len(rates) // 2]  # unknown: middle
         self.usual_kb = max(usual, rates[0])
-        usual = sum(told) / max(1, len(told))
+        usual = fmean(told or [0.0])
         for s in ready:
             s.typical = usual
 
@@ -509,19 +504,21 @@
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
         rungs = self._fair(now, rack)
-        # what is over goes down; of free room each controller takes its part, then waits for news of it
-        cut, room, ladder = {}, {}, self.d.ladder
+        # what is over goes down; of free room each controller takes its part by what it asks, then waits for
+        # news. A step over that part is taken by chance, if the uplink is known: else none of many rises
+        cut, room, part, ladder = {}, {}, {}, self.d.ladder
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
             # a told uplink is a mean: only one measured lately cuts. A tenth over may be noise of reports,
             # but not where short notes measured it (one sample)
             over = 1.03 if at is rack and len(rack.seen) == 1 else 1.1
-            sure = at is not rack or rack.settled(now) < 5 * SECOND
-            cut[at] = (asked - limit) * own / asked if asked > over * limit and sure else 0.0
+            known = rack.settled(now) < 5 * SECOND
+            cut[at] = (asked - limit) * own / asked if asked > over * limit and (known or at is not rack) else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink known well
-            fill = self.MARK - (0 if at is rack and sure else 0.1)
+            fill = self.MARK - (0 if at is rack and known else 0.1)
             told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 1
-            room[at] = max(0.0, fill * limit - asked) / self.d.controllers if told > at.raised else 0.0
+            room[at] = fill * limit - asked if told > at.raised else 0.0
+            part[at] = room[at] * (own / asked if known and asked else 1 / self.d.controllers)
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
             s, fair = pb.streamer, rungs[pb]
             if pb.state is not State.PLAYING or s.stuck(now):
@@ -531,16 +528,18 @@
                 cut[s], cut[rack] = cut[s] - kb, cut[rack] - kb
                 self._step(now, pb, fair)
             # 8 s between steps of one playback keep to the three a minute that the design allows
-            elif pb.rung < fair and now - pb.stepped > 8 * SECOND:
-                left = pb.ends - now if pb.ends else sum(self.lives) / max(1, len(self.lives)) or 20 * SECOND
+            elif pb.rung < fair and now - pb.stepped > 8 * SECOND and min(part[s], part[rack]) > 0:
+                left = pb.ends - now if pb.ends else fmean(self.lives or [20 * SECOND])
                 for rung in range(fair, pb.rung, -1):
                     kb = self._rate(pb.plan, rung) - self._rate(pb.plan, pb.rung)
                     gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
                     # it must earn twice what the change costs, as the time left is a guess
                     if kb <= min(room[s], room[rack]) and gain * left > 2 * ladder.switch_cost:
-                        room[s], room[rack] = room[s] - kb, room[rack] - kb
+                        odds = min(part[s], part[rack]) / kb
+                        part[s], part[rack] = part[s] - kb, part[rack] - kb
                         s.raised = rack.raised = now
-                        self._step(now, pb, rung)
+                        if odds >= 1 or known and self._chance() < odds:
+                            self._step(now, pb, rung)
                         break
 
     def _step(self, now, pb, rung):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -97,7 +97,7 @@
     assert front.want("paid").state is State.HELD
     assert front.want("paid", title="other").state is State.TRYING
     front.end(two, Ending.FULL)
-    assert two.state is State.TRYING and sum(one.title.seated.values()) == 2
+    assert two.state is State.TRYING and front.c.seated(two.plan, two.title) == 2
 
 
 def test_nothing_goes_to_streamers_that_drain_or_are_gone():
@@ -162,6 +162,8 @@
 def test_a_short_note_alone_is_not_blamed_on_the_uplink():
     s = shorten(Front(racks=1), [0.9, 0.8])
     assert not s.rack.seen
+    s = shorten(Front(streamers=1), [0.9])
+    assert s.rack.limit(s.rack.seen[-1][0]) < 9000, "but with no rack mate in use nobody else tells"
     front = Front(racks=1)
     s = shorten(front, [0.9])
     front.share(1, 0.9)
@@ -183,7 +185,7 @@
     front.c.handed_over(front.now, "old", "free", "t", 0, 4, 3, 900 * S, 0, False, 0)
     front.c.told_rung(front.now, "old", 1)
     pb = front.c.playbacks["old"]
-    assert pb.rung == 1 and pb.title.seated["free"] == 1
+    assert pb.rung == 1 and front.c.seated(pb.plan, "t") == 1
     front.pass_time(3 * S)
     front.use(0, link=0.1)
     front.pass_time(S)
