--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -139,8 +139,7 @@
         self.d, self.born = deployment, now
         self.began_empty = True  # no playback was handed over: a restart with an old list
         self.streamers, self.racks, self.playbacks = {}, {}, {}
-        self.open = {}  # playbacks held or trying, in order
-        self.stale = {}  # racks with news for the companion
+        self.open, self.stale = {}, {}  # playbacks held or trying, in order; racks with news for the companion
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
         self.lives = deque(maxlen=64)  # how long playbacks played
@@ -513,7 +512,8 @@
             # but not where short notes measured it (one sample)
             over = 1.03 if at is rack and len(rack.seen) == 1 else 1.1
             known = rack.settled(now) < 5 * SECOND
-            cut[at] = (asked - limit) * own / asked if asked > over * limit and (known or at is not rack) else 0.0
+            over = asked > over * limit and (known or at is not rack)
+            cut[at] = (asked - limit) * own / asked if over else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink known well
             fill = self.MARK - (0 if at is rack and known else 0.1)
             told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 1
