After a restart under many controllers several ranks share a turn at a cold streamer

Cause: a restarted controller knows only an old list, so it takes every streamer for cold and waits for its turn by rank. Now ranks share a turn as far as a quarter of a playback is expected in it at the controller's own rate, and a streamer that is only suspected counts as one of the title's many holders. It also serves a deployment at night, when playbacks are rare; it could harm if a surge more than about twelve times the last rate met a streamer that everybody sees idle.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -139,8 +139,9 @@
         self.d, self.born = deployment, now
         self.began_empty = True  # no playback was handed over: a restart with an old list
         self.streamers, self.racks, self.playbacks = {}, {}, {}
-        self.open, self.stale = {}, {}  # playbacks held or trying, in order; racks with news for the companion
+        self.open, self.stale = {}, {}  # playbacks held or trying, in order; racks with news
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
+        self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
         self.lives = deque(maxlen=64)  # how long playbacks played
         self.draws, self.usual_kb = 0, 1.0
@@ -168,6 +169,7 @@
     def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
         pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
         self.taken.append(now)
+        self.recent.append(now)
         pb.hold_until = min(now + 2 * SECOND, pb.due)  # DESIGN's brief hold
         if pb.rung > top or time_left <= 0:
             self._reject(now, pb)
@@ -185,8 +187,7 @@
         return self.wake(now)
 
     def playing(self, now, id, took):
-        pb = self.playbacks.get(id)
-        if pb and pb.state is State.TRYING:
+        if (pb := self.playbacks.get(id)) and pb.state is State.TRYING:
             self.answers.append(took)
             self._well(now, pb.streamer)
             self._turn(now, pb, State.PLAYING)
@@ -216,8 +217,7 @@
         return self.wake(now, pb)
 
     def told_rung(self, now, id, rung):
-        pb = self.playbacks.get(id)
-        if pb and pb.streamer and 0 <= rung < len(self.d.ladder.rates):
+        if (pb := self.playbacks.get(id)) and pb.streamer and 0 <= rung < len(self.d.ladder.rates):
             pb.rung = int(rung)
             self._note_own(now, pb.streamer)
         return []
@@ -229,14 +229,12 @@
         return self.wake(now)
 
     def told_share(self, now, streamer, share):
-        s = self.streamers.get(streamer)
-        if s and share is not None and 0 <= share <= 1:
+        if (s := self.streamers.get(streamer)) and share is not None and 0 <= share <= 1:
             self._delivered(now, s, share)
         return self.wake(now)
 
     def viewer_left(self, now, id):
-        pb = self.playbacks.get(id)
-        if pb and pb.state not in FINAL:
+        if (pb := self.playbacks.get(id)) and pb.state not in FINAL:
             self._turn(now, pb, State.ENDED)
         return self.wake(now)
 
@@ -309,7 +307,7 @@
             return False
         if pb.tries and not self._extra_left(now):
             return False
-        able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s)]
+        able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s, len(fresh))]
         if not plan.repeatable:
             able = [s for s in able if not s.gap] or able
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
@@ -373,8 +371,7 @@
         s.gap = s.gap // 2 if s.gap > SECOND // 4 else 0
         s.next_try = now + s.gap
         if s.down is not None:  # back before the list said so: its warm-up counts from now
-            s.down, s.slot = None, None
-            s.listed = replace(s.listed, started=now)
+            s.down, s.slot, s.listed = None, None, replace(s.listed, started=now)
 
     def _places(self, s):
         return self.d.links.places.get(s.listed.kind) or min(self.d.links.places.values(), default=8)
@@ -393,16 +390,21 @@
         # the integral of the pace; warmth is taken to rise late, as the ramp is not told
         return places * (share * x + (1 - share) * x**3 / 3)
 
-    def _cold_turn(self, now, s):
+    def _cold_turn(self, now, s, choices):
         """Controllers take turns by rank at the cold pace, so that all together stay under the stated
         multiple without a word: a whole turn each where two running into a window fit, else a third."""
-        at, rules = self._slot(now, s), self.d.rules
+        at, rules, all = self._slot(now, s), self.d.rules, self.d.controllers
         if at is None:
             return True
         # set-ups the pace allows in a window, at the least warmth; a tenth of the limit is left unused
         fit = self._places(s) * rules.cold_share * rules.fall_window / rules.cold_for
         share = 1 if int(fit) + 2 <= 0.9 * rules.fall_multiple * fit else 0.34
-        mine = int(at) % self.d.controllers == self.d.rank % self.d.controllers
+        # where playbacks are rare several ranks share a turn, up to a quarter of a playback: room for surges.
+        # A streamer only suspected to be cold is one of many choices. A prime, as ids may be in a row
+        turns = (now - self.recent[0] + 5 * SECOND) * fit / rules.fall_window / len(self.recent)
+        known = s.down is not None or now - s.listed.started < rules.cold_for
+        group = max(1, min(int(0.25 * turns * (1 if known else choices)), all))
+        mine = (int(at) * group + 7919 * s.listed.id - self.d.rank) % all < group
         return mine and at % 1 < share and (s.slot is None or int(s.slot) != int(at))
 
     def _hear(self, now, s, link, uplink, fresh):
@@ -474,7 +476,7 @@
         while steps:
             _, n, rung, kb = heapq.heappop(steps)
             p, at = all_of[n]
-            tight = at if room[at] < room[rack] else rack
+            tight = min(at, rack, key=room.get)
             # the first step that does not fit is taken by chance, so that all controllers together fill it
             if kb <= room[tight] or tight not in drawn and p.luck * kb < room[tight]:
                 room[at] -= kb
@@ -510,10 +512,9 @@
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
             # a told uplink is a mean: only one measured lately cuts. A tenth over may be noise of reports,
             # but not where short notes measured it (one sample)
-            over = 1.03 if at is rack and len(rack.seen) == 1 else 1.1
-            known = rack.settled(now) < 5 * SECOND
-            over = asked > over * limit and (known or at is not rack)
-            cut[at] = (asked - limit) * own / asked if over else 0.0
+            known, over = rack.settled(now) < 5 * SECOND, 1.03 if at is rack and len(rack.seen) == 1 else 1.1
+            sure = asked > over * limit and (known or at is not rack)
+            cut[at] = (asked - limit) * own / asked if sure else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink known well
             fill = self.MARK - (0 if at is rack and known else 0.1)
             told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 1
@@ -535,9 +536,8 @@
                     gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
                     # it must earn twice what the change costs, as the time left is a guess
                     if kb <= min(room[s], room[rack]) and gain * left > 2 * ladder.switch_cost:
-                        odds = min(part[s], part[rack]) / kb
+                        odds, s.raised, rack.raised = min(part[s], part[rack]) / kb, now, now
                         part[s], part[rack] = part[s] - kb, part[rack] - kb
-                        s.raised = rack.raised = now
                         if odds >= 1 or known and self._chance() < odds:
                             self._step(now, pb, rung)
                         break
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -205,3 +205,13 @@
         front.play(pb)
         front.end(pb, Ending.PLAYED_OUT, finished=True)
     assert set(rungs) == {2, 3} and 10 <= rungs.count(2) <= 30, "though 1000 kB are free"
+
+
+def test_after_a_restart_under_many_controllers_some_streamer_has_its_turn_soon():
+    served = 0
+    for rank in range(40):  # with turns by single ranks hardly one of a hundred would serve within its hold
+        front = Front(streamers=40, warm=False, rank=rank * 7, controllers=290)
+        pb = front.want(cells=4)
+        front.pass_time(1900 * MS)
+        served += bool(pb and pb.tries)
+    assert served > 30
