Where most of a rack is unheard, the report of its uplink stands for what is asked

Cause: with a hundred fronts each hears of a few streamers, so what a rack's uplink is asked was a sum of guesses, and the report of the uplink only bent its limit by that guess. Where fewer than half of the rack's streamers were heard within 5 s, the report itself now says what others ask, for 5 s; own changes since are added. It also holds against link reports that stop; it could harm for 5 s after a rack loses streamers, which then seems fuller than it is.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -39,8 +39,8 @@
     """Streamers behind one uplink, and what is asked of that uplink."""
 
     def __init__(self, told):
-        self.told = told
-        self.streamers = []
+        self.told, self.streamers = told, []
+        self.heard = None  # (time, what others asked of its uplink): the last report, if that says most
         self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
         self.raised = 0  # when own playbacks there last rose, or might have by chance
 
@@ -56,10 +56,12 @@
     def settled(self, now):  # for how long no correction has come
         return now - self.seen[-1][0] if self.seen else now
 
-    def own(self):
-        return sum(s.own() for s in self.streamers)
+    def own(self, at=None):
+        return sum(s.own(at) for s in self.streamers)
 
     def asked(self, now, at=None):
+        if at is None and self.heard and now - self.heard[0] < 5 * SECOND:
+            return self.heard[1] + self.own()
         # what a link cannot carry does not reach the uplink: one that slows down reports many times its due
         return sum(min(s.asked(now, at), s.limit()) for s in self.streamers)
 
@@ -144,8 +146,7 @@
         self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
         self.lives = deque(maxlen=64)  # how long playbacks played
-        self.draws, self.usual_kb = 0, 1.0
-        self.wake_at, self.next_scan = None, 0
+        self.draws, self.usual_kb, self.wake_at, self.next_scan = 0, 1.0, None, 0
         self.changed = {}  # playbacks to hand back, in order
 
     def list_changed(self, now, entries, whole, old):
@@ -159,8 +160,7 @@
                 rack = self.racks.setdefault(e.cell % max(1, links.racks), Rack(links.uplink_kb))
                 s = self.streamers[e.id] = Streamer(e, rack, self.d)
             if e.started != s.listed.started:
-                s.down, s.slot = None, None
-                s.heard.clear()
+                s.down, s.slot, s.heard = None, None, deque(maxlen=2)
             s.listed = e
         for s in self.streamers.values():
             s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
@@ -329,25 +329,22 @@
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
 
     def _send(self, now, pb, s, rung):
-        plan = pb.plan
         pb.tries += 1
         if pb.tries > 1:
             self.extra.append(now)
         pb.streamer, pb.rung, pb.out = s, rung, True
         pb.trail.append(s)
         # repeatable: room for a second try before the startup target
-        usual = min(self._patience(), plan.startup_target // 2) if plan.repeatable else pb.due
+        usual = min(self._patience(), pb.plan.startup_target // 2) if pb.plan.repeatable else pb.due
         pb.time_out = min(pb.due - now, usual)
         s.count += 1
-        s.next_try = now + s.gap
-        s.slot = self._slot(now, s)
+        s.next_try, s.slot = now + s.gap, self._slot(now, s)
         self._turn(now, pb, State.TRYING)
         self._seat(now, pb)
         return True
 
     def _patience(self):
-        """How long a silence is still usual, by the answers seen before."""
-        # six spreads over the mean: the tail is long, and set-ups cut off are missing from the samples
+        # how long a silence is still usual: six spreads over the mean, as the tail is long and cut off
         return int(max(fmean(self.answers) + 6 * pstdev(self.answers), 250 * MS))
 
     def _extra_left(self, now):
@@ -413,7 +410,11 @@
         if link is not None and 0 <= link < 100:
             s.heard.append((now, max(0.0, link * s.limit() - s.own(at))))
         if uplink is not None and 0.05 < uplink < 100:  # what it gave, by what was asked
-            s.rack.seen.append((now, s.rack.asked(now, at) / uplink))
+            # where most of the rack is unheard, a sum of guesses: there the report stands for what is asked
+            rack, late = s.rack, now - 5 * SECOND
+            few = 2 * sum(m.heard[-1][0] > late for m in rack.streamers if m.heard) < len(rack.streamers)
+            rack.heard = (now, max(0.0, uplink * rack.told - rack.own(at))) if few else None
+            rack.seen.append((now, rack.told if few else rack.asked(now, at) / uplink))
         self.stale[s.rack] = None
 
     def _chance(self):
@@ -499,8 +500,8 @@
         free = min(self.MARK * at.limit(now) - at.asked(now) for at in (s, s.rack))
         if self._rate(pb.plan, pb.plan.floor) > free:
             return None
-        fair = self._fair(now, s.rack, pb, s)[pb]
-        return next(r for r in range(fair, -1, -1) if self._rate(pb.plan, r) <= free)
+        top = self._fair(now, s.rack, pb, s)[pb]
+        return next(r for r in range(top, -1, -1) if self._rate(pb.plan, r) <= free)
 
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
@@ -543,6 +544,5 @@
                         break
 
     def _step(self, now, pb, rung):
-        pb.rung, pb.stepped = rung, now
-        self.changed[pb] = None
+        pb.rung, pb.stepped, self.changed[pb] = rung, now, None
         self._note_own(now, pb.streamer)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -215,3 +215,14 @@
         front.pass_time(1900 * MS)
         served += bool(pb and pb.tries)
     assert served > 30
+
+
+def test_where_most_of_a_rack_is_unheard_the_report_of_its_uplink_stands():
+    front = Front(racks=1)
+    rack = front.c.streamers[0].rack
+    front.use(0, uplink=0.5)
+    assert rack.asked(front.now) == 4500 and rack.limit(front.now) == 9000
+    for n in (0, 1, 2):
+        front.use(n, link=0.5)
+    front.use(0, uplink=0.5)
+    assert rack.asked(front.now) < 4500, "the sum of the links again, once they are heard"
