Tidy: one loop for a list change, deques cleared in place, a loop's constant hoisted

The lengths of the kept reports and corrections stand in one place again; the check that a playback ended is seated is gone, as each that is out is; no local hides a built-in.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -152,6 +152,7 @@
     def list_changed(self, now, entries, whole, old):
         listed = {e.id for e in entries}
         for s in self.streamers.values():
+            s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
             if whole and s.listed.id not in listed:
                 s.listed = replace(s.listed, standing=Standing.GONE)
         for e in entries:
@@ -160,10 +161,9 @@
                 rack = self.racks.setdefault(e.cell % max(1, links.racks), Rack(links.uplink_kb))
                 s = self.streamers[e.id] = Streamer(e, rack, self.d)
             if e.started != s.listed.started:
-                s.down, s.slot, s.heard = None, None, deque(maxlen=2)
+                s.down, s.slot = None, None
+                s.heard.clear()
             s.listed = e
-        for s in self.streamers.values():
-            s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
         return self.wake(now)
 
     def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
@@ -270,9 +270,8 @@
         self._note_own(now, pb.streamer)
 
     def _unseat(self, now, pb):
-        if pb.streamer and pb in pb.streamer.playbacks:
-            del pb.streamer.playbacks[pb]
-            self._note_own(now, pb.streamer)
+        del pb.streamer.playbacks[pb]
+        self._note_own(now, pb.streamer)
 
     def wake(self, now, pb=None):
         """Give held playbacks their next try or their answer, and say when to be called again."""
@@ -390,7 +389,7 @@
     def _cold_turn(self, now, s, choices):
         """Controllers take turns by rank at the cold pace, so that all together stay under the stated
         multiple without a word: a whole turn each where two running into a window fit, else a third."""
-        at, rules, all = self._slot(now, s), self.d.rules, self.d.controllers
+        at, rules, ranks = self._slot(now, s), self.d.rules, self.d.controllers
         if at is None:
             return True
         # set-ups the pace allows in a window, at the least warmth; a tenth of the limit is left unused
@@ -400,8 +399,8 @@
         # A streamer only suspected to be cold is one of many choices. A prime, as ids may be in a row
         turns = (now - self.recent[0] + 5 * SECOND) * fit / rules.fall_window / len(self.recent)
         known = s.down is not None or now - s.listed.started < rules.cold_for
-        group = max(1, min(int(0.25 * turns * (1 if known else choices)), all))
-        mine = (int(at) * group + 7919 * s.listed.id - self.d.rank) % all < group
+        group = max(1, min(int(0.25 * turns * (1 if known else choices)), ranks))
+        mine = (int(at) * group + 7919 * s.listed.id - self.d.rank) % ranks < group
         return mine and at % 1 < share and (s.slot is None or int(s.slot) != int(at))
 
     def _hear(self, now, s, link, uplink, fresh):
@@ -435,9 +434,9 @@
         scale, rates = sum(pb.plan.scale for s in ready for pb in s.playbacks), self.d.ladder.rates
         usual = sum(s.own() for s in ready) / scale if scale else rates[len(rates) // 2]  # unknown: middle
         self.usual_kb = max(usual, rates[0])
-        usual = fmean(told or [0.0])
+        typical = fmean(told or [0.0])
         for s in ready:
-            s.typical = usual
+            s.typical = typical
 
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
@@ -452,7 +451,8 @@
             self._badly(now, s, Ending.ERRED)
         # notes are smoothed over seconds: what they tell in the 2 s after a correction is the old shortage
         elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 2 * SECOND:
-            rack.seen = deque([(now, rack.asked(now, now - lag) * max(0.3, share))], maxlen=4)
+            rack.seen.clear()
+            rack.seen.append((now, rack.asked(now, now - lag) * max(0.3, share)))
 
     MARK = 0.9  # DESIGN's mark: links and uplinks are filled to nine tenths
 
@@ -508,12 +508,12 @@
         rungs = self._fair(now, rack)
         # what is over goes down; of free room each controller takes its part by what it asks, then waits for
         # news. A step over that part is taken by chance, if the uplink is known: else none of many rises
-        cut, room, part, ladder = {}, {}, {}, self.d.ladder
+        cut, room, part, ladder, known = {}, {}, {}, self.d.ladder, rack.settled(now) < 5 * SECOND
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
             # a told uplink is a mean: only one measured lately cuts. A tenth over may be noise of reports,
             # but not where short notes measured it (one sample)
-            known, over = rack.settled(now) < 5 * SECOND, 1.03 if at is rack and len(rack.seen) == 1 else 1.1
+            over = 1.03 if at is rack and len(rack.seen) == 1 else 1.1
             sure = asked > over * limit and (known or at is not rack)
             cut[at] = (asked - limit) * own / asked if sure else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink known well
