--- a/terndrift/adapter/codec.py
+++ b/terndrift/adapter/codec.py
@@ -82,6 +82,7 @@
 
 
 def listed(line):
+    """A line of the server list; its rack follows from the cell once the settings are known."""
     name, f = fields(line)
     if name != "entry":
         raise Malformed(f"'entry' expected, not '{name}'")
@@ -90,6 +91,7 @@
         kind=f.get("generation_hw", ""),
         zone=f.get("az", ""),
         cell=int(number(f, "place", 0)),
+        rack=0,
         standing=one_of(f, "state", STANDINGS),
         weight=number(f, "weight", 1),
         started=whole(f, "online_since_ns", 0),
@@ -109,7 +111,7 @@
 
 
 def deployment(f):
-    """The settings of an instance, and the names of its report's values."""
+    """The settings of an instance, the names of its report's values, and how many cells and racks it has."""
     count = whole(f, "profiles.count", 0)
     floors = numbers(f, "family_info.lowest_rung", count)
     seats = numbers(f, "family_info.class_seats", count)
@@ -148,8 +150,6 @@
         links=Links(
             unit_kb=number(f, "family_info.link_unit_kb", 1),
             uplink_kb=number(f, "family_info.rack_kb", 0) or number(f, "family_info.fleet_kb", 1e12),
-            racks=whole(f, "family_info.racks", 1),
-            cells=whole(f, "family_info.places", 1),
             places=dict(zip(kinds, numbers(f, "family_info.places_by_kind", len(kinds)), strict=True)),
             lag=whole(f, "family_info.see_ns", 0),
             refuses_from=number(f, "family_info.refuses_from", 0),
@@ -169,4 +169,5 @@
             peers=allows["peer_messages"],
         ),
     )
-    return made, f.get("load_report.fields", "").split(",")
+    layout = max(1, whole(f, "family_info.places", 1)), max(1, whole(f, "family_info.racks", 1))
+    return made, f.get("load_report.fields", "").split(","), layout
--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+from dataclasses import replace
 
 from terndrift.adapter import codec
 from terndrift.adapter.codec import Malformed, number, text, whole
@@ -12,7 +13,7 @@
     """One controller, and what the wire has been told of its playbacks."""
 
     def __init__(self, settings, now):
-        self.deployment, self.report_names = codec.deployment(settings)
+        self.deployment, self.report_names, (self.cells, self.racks) = codec.deployment(settings)
         self.controller = Controller(self.deployment, now)
         self.told = {}  # playback id -> [tries, rung] as last sent
         self.ring_at = None
@@ -93,7 +94,8 @@
         table = whole(f, "table")
         if table not in self.lists:
             raise Malformed(f"no directory {table}")
-        return inst.controller.list_changed(now, self.lists[table], how != 0, how == 2)
+        entries = [replace(e, rack=e.cell % inst.racks) for e in self.lists[table]]
+        return inst.controller.list_changed(now, entries, how != 0, how == 2)
 
     def asked(self, inst, now, f):
         plan = text(f, "qos")
@@ -102,9 +104,10 @@
         marks = whole(f, "opts", 0)
         row = inst.deployment.plans[plan]
         top = min(int(number(f, "top", 1e9)), row.top, len(inst.deployment.ladder.rates) - 1)
+        first = int(number(f, "start_cell", 0))
         return dict(
             id=text(f, "corr"), plan=plan, title=f.get("title", ""),
-            first_cell=int(number(f, "start_cell", 0)), cells=int(number(f, "spread", 0)), top=top,
+            cells={(first + j) % inst.cells for j in range(int(number(f, "spread", 0)))}, top=top,
             time_left=whole(f, "expires_in_ns"), hint=whole(f, "work_ns", 0) if marks & 1 else 0,
             moved=bool(marks & 8),
         )
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -158,7 +158,7 @@
         for e in entries:
             s, links = self.streamers.get(e.id), self.d.links
             if s is None:
-                rack = self.racks.setdefault(e.cell % max(1, links.racks), Rack(links.uplink_kb))
+                rack = self.racks.setdefault(e.rack, Rack(links.uplink_kb))
                 s = self.streamers[e.id] = Streamer(e, rack, self.d)
             if e.started != s.listed.started:
                 s.down, s.slot = None, None
@@ -166,8 +166,8 @@
             s.listed = e
         return self.wake(now)
 
-    def wanted(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved):
-        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
+    def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved):
+        pb = self._take(now, id, plan, title, cells, top, time_left, hint)
         self.taken.append(now)
         self.recent.append(now)
         pb.hold_until = min(now + 2 * SECOND, pb.due)  # DESIGN's brief hold
@@ -175,9 +175,9 @@
             self._reject(now, pb)
         return self.wake(now, pb)
 
-    def handed_over(self, now, id, plan, title, first_cell, cells, top, time_left, hint, moved, streamer):
+    def handed_over(self, now, id, plan, title, cells, top, time_left, hint, moved, streamer):
         self.began_empty = False
-        pb = self._take(now, id, plan, title, first_cell, cells, top, time_left, hint)
+        pb = self._take(now, id, plan, title, cells, top, time_left, hint)
         pb.tries, pb.streamer = 1, self.streamers.get(streamer)
         pb.out = pb.streamer is not None  # one listed nowhere: nothing can be said of it
         self._turn(now, pb, State.PLAYING if pb.out else State.ENDED)
@@ -240,10 +240,10 @@
 
     probe_answer = peer_message = lambda self, now, *_: []  # none are asked for, so none are expected
 
-    def _take(self, now, id, plan, title, first_cell, cells, top, time_left, hint):
+    def _take(self, now, id, plan, title, cells, top, time_left, hint):
         luck, due = self._chance(), now + time_left
         pb = self.playbacks[id] = Playback(id, self.d.plans[plan], title, top, due, luck)
-        pb.cells = {(first_cell + j) % max(1, self.d.links.cells) for j in range(cells)}
+        pb.cells = cells
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
         return pb
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -14,7 +14,8 @@
 not needed); an early or a late call does no harm. The calls:
 
     list_changed(now, entries, whole, old)     the server list: all of it or changes; old: a cached copy
-    wanted(now, id, plan, title, first_cell, cells, top, time_left, hint, moved)    a viewer asks
+    wanted(now, id, plan, title, cells, top, time_left, hint, moved)    a viewer asks; the
+                                               title's holders are the streamers of these cells
     handed_over(now, id, ..., streamer)        as `wanted`, but it plays already at that streamer
     playing(now, id, took)                     the set-up that is out came to play
     try_ended(now, id, ending, took, finished, streamer, report)   a set-up, or what played, is over
@@ -85,8 +86,6 @@
 class Links:
     unit_kb: float  # link of a streamer for each unit of its weight, rough
     uplink_kb: float  # mean uplink of a rack
-    racks: int
-    cells: int
     places: dict  # kind of streamer -> playbacks it runs at most
     lag: int  # how late shares, link and uplink figures of playing streamers are
     refuses_from: float  # a streamer turns set-ups away from this link use on; 0: never
@@ -127,7 +126,8 @@
     id: int
     kind: str
     zone: str
-    cell: int
+    cell: int  # a playback names the cells that hold its title; one cell may have several streamers
+    rack: int
     standing: Standing
     weight: float
     started: int  # 0: long ago
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,7 +10,7 @@
 T0 = 1000 * S
 
 
-def deployment(rank=0, controllers=2, racks=2, **rules):
+def deployment(rank=0, controllers=2, **rules):
     plans = {
         "free": Plan("free", 1.0, 1.0, 0, 3, 0, S, True),
         "paid": Plan("paid", 2.0, 1.0, 1, 3, 2, S, False),
@@ -19,25 +19,25 @@
                 try_limit=4, extra_tries=2, extra_share=0.1, extra_window=10 * S, longest_advice=S,
                 probes=False, peers=False)
     ladder = Ladder((100.0, 200.0, 400.0, 800.0), (0.25, 0.5, 0.75, 1.0), 6.0, S // 2)
-    links = Links(2000.0, 9000.0, racks, 4, {"box": 20}, S, 0.0)
+    links = Links(2000.0, 9000.0, {"box": 20}, S, 0.0)
     return Deployment(7, rank, controllers, "here", plans, ladder, links, Rules(**{**base, **rules}))
 
 
-def line(id, cell=0, standing=Standing.READY, started=0, weight=1.0):
-    return Listed(id, "box", "here", cell, standing, weight, started)
+def line(id, cell=0, standing=Standing.READY, started=0, weight=1.0, racks=2):
+    return Listed(id, "box", "here", cell, cell % racks, standing, weight, started)
 
 
 class Front:
     """One controller, the clock, and a check of every call's result against the rules."""
 
-    def __init__(self, streamers=4, warm=True, **rules):
+    def __init__(self, streamers=4, warm=True, racks=2, **rules):
         self.d = deployment(**rules)
         self.now, self.ids = T0, itertools.count()
         self.c = Controller(self.d, self.now)
         self.model = Model(self.d)
         if warm:  # a front that was handed something knows that it has not just restarted
             self.c.began_empty = False
-        self.list([line(n, cell=n % 4) for n in range(streamers)], whole=True)
+        self.list([line(n, cell=n % 4, racks=racks) for n in range(streamers)], whole=True)
 
     def _seen(self, changed):
         self.model.check(self.now, changed)
@@ -50,7 +50,7 @@
     def want(self, plan="free", title="t", cells=4, top=3, left=4 * S):
         id = f"pb{next(self.ids)}"
         self.model.taken(self.now, id, plan, title, self.now + left)
-        self._seen(self.c.wanted(self.now, id, plan, title, 0, cells, top, left, 0, False))
+        self._seen(self.c.wanted(self.now, id, plan, title, set(range(cells)), top, left, 0, False))
         return self.c.playbacks.get(id)
 
     def play(self, pb):
