The path end to end: front, core, carrier, stand-in streamers and player, demo

A player's GET of a multivariant playlist becomes a wanted playback; the core feeds the decisions and carries out what they say; the HTTP carrier sets it up at a streamer with CMCD and reads its CMSD; the front relays what plays at the rung in force and tells it as mb. The server list is a records file followed while running. decide.py: the order of holders is a method of its own, so that baselines can differ in it alone.

--- /dev/null
+++ b/terndrift/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m terndrift`: the command line."""
+
+from terndrift.cli.main import main
+
+main()
--- /dev/null
+++ b/terndrift/cli/main.py
@@ -0,0 +1,167 @@
+"""The commands and what they have in common: one clear line and exit code 2 for bad use or bad files."""
+
+import asyncio
+import json
+import sys
+
+import click
+
+from terndrift import deployment, logs, records, service
+from terndrift.hints import cmcd, cmsd
+from terndrift.listing.roll import Unusable
+
+
+class Group(click.Group):
+    """Turns what is wrong with a file or an address into a line on standard error and exit code 2."""
+
+    def invoke(self, ctx):
+        try:
+            return super().invoke(ctx)
+        except (records.Wrong, deployment.Amiss, Unusable) as wrong:
+            click.echo(f"terndrift: {wrong}", err=True)
+        except OSError as wrong:
+            where = f"{wrong.filename}: " if wrong.filename else ""
+            click.echo(f"terndrift: {where}{wrong.strerror or wrong}", err=True)
+        ctx.exit(2)
+
+
+@click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name=None, version="0.2.0", prog_name="terndrift")
+def cli():
+    """A session front that places and shapes video playbacks on streaming servers with shared links."""
+
+
+KINDS = click.Choice(["front", "fleet", "list", "day"])
+
+
+def _kind(value_of):
+    """What kind of record a file is, told by the fields that only one kind has."""
+    for kind, mark in (("front", "controller"), ("fleet", "uplinks"), ("day", "troubles")):
+        if mark in value_of:
+            return kind
+    return "list"
+
+
+@cli.command()
+@click.argument("file", type=click.Path())
+@click.option("--kind", type=KINDS, help="What the file is; told from its fields if not given.")
+def check(file, kind):
+    """Check a records FILE; every error is printed with its place."""
+    if kind is None:
+        try:
+            with open(file, encoding="utf-8") as text:
+                words = text.read()
+        except UnicodeDecodeError as wrong:
+            raise OSError(None, f"not text: {wrong}", file) from None
+        kind = _kind(words)
+    value = service.read(file) if kind == "front" else records.load(file, kind)
+    if kind == "front":
+        records.load(value["list"], "list")
+    elif "deployment" in value:
+        deployment.check(value["deployment"])
+    click.echo(f"{file}: a {kind} file, nothing amiss")
+
+
+@cli.command()
+@click.argument("file", type=click.Path())
+@click.option("--policy", default="design", hidden=True, help="A baseline in place of the design.")
+def serve(file, policy):
+    """Run a controller by a front FILE until SIGTERM, which drains it."""
+    from terndrift.rehearse.baselines import POLICIES  # baselines only; the design needs none of it
+
+    if policy not in POLICIES:
+        raise click.UsageError(f"no policy '{policy}'; there are {', '.join(POLICIES)}")
+    asyncio.run(_serve(service.read(file), POLICIES[policy]))
+
+
+async def _serve(value, controller):
+    await service.Service(value, controller=controller).run()
+
+
+@cli.command()
+@click.argument("file", type=click.Path())
+def streamer(file):
+    """Run the stand-in streamers of a fleet FILE until SIGTERM."""
+    from terndrift.standin.fleet import Fleet, write_list
+
+    value = records.load(file, "fleet")
+
+    def ready(fleet):
+        if value["ready"]:
+            write_list(value["ready"], fleet.lines())
+        for s in fleet.streamers.values():
+            click.echo(f"{s.name} {s.address}")
+
+    async def run():
+        await Fleet(value).run(ready)
+
+    asyncio.run(run())
+
+
+@cli.command()
+@click.argument("url")
+@click.option("--seconds", type=float, help="Watch so long at most.")
+@click.option("--top", type=int, help="The highest rate of use, kbit/s (CMCD tb).")
+@click.option("--abandon", type=float, default=5.0, show_default=True, help="Give a set-up up after s.")
+def play(url, seconds, top, abandon):
+    """Play URL as a stand-in player would, and print what happens, a JSON line each."""
+    from urllib.parse import urlsplit
+
+    from terndrift.standin.player import Player
+
+    parts = urlsplit(url)
+    path = parts.path.split("/")
+    if parts.scheme != "http" or not parts.port or len(path) != 4 or path[1] != "v":
+        raise click.UsageError(f"'{url}' is not http://HOST:PORT/v/TITLE/main.m3u8")
+
+    class Printed:
+        def note(self, what, **facts):
+            click.echo(json.dumps({"what": what, **facts}))
+
+    player = Player(lambda: f"{parts.hostname}:{parts.port}", path[2], Printed(), seconds=seconds, top=top,
+                    abandon=abandon)
+    seen = asyncio.run(player.watch())
+    if not seen:
+        sys.exit(1)
+
+
+@cli.command()
+@click.option("--seconds", type=float, default=0.0, help="End by itself after so long; 0: at SIGTERM.")
+@click.option("--try", "try_it", is_flag=True, help="Also play the title once, and end.")
+def demo(seconds, try_it):
+    """One controller, three streamers and one title, all on loopback; prints a URL that curl can play."""
+    from terndrift.rehearse.demo import run
+
+    logs.setup("warning")
+    sys.exit(asyncio.run(run(click.echo, seconds, try_it)))
+
+
+@cli.group()
+def hints():
+    """CMCD and CMSD hints."""
+
+
+@hints.command("parse")
+def hints_parse():
+    """Read a CMCD or CMSD header, or a query with CMCD=..., on standard input; print it as JSON."""
+    headers, query = {}, None
+    for line in sys.stdin.read(1 << 20).splitlines():
+        name, colon, value = line.partition(":")
+        known = next((h for h in (*cmcd.HEADERS, cmsd.STATIC, cmsd.DYNAMIC)
+                      if h.lower() == name.strip().lower()), None)
+        if colon and known:
+            headers[known] = f"{headers[known]},{value.strip()}" if known in headers else value.strip()
+        elif "CMCD=" in line:
+            query = cmcd.from_query(line.strip().rpartition("?")[2].split(" ")[0])
+        elif line.strip():
+            headers.setdefault(cmcd.REQUEST, line.strip())  # the bare value of a header, keys anywhere
+    request, answer = cmcd.parse(headers, query), cmsd.parse(headers)
+    out = {"request": request.values,
+           "custom": {k: v for k, (_, v) in request.custom.items()} | answer.custom,
+           "static": answer.static, "dynamic": [{"server": n, **p} for n, p in answer.dynamic],
+           "ignored": [{"key": i.key, "why": i.why} for i in [*request.ignored, *answer.ignored]]}
+    click.echo(json.dumps(out, indent=2))
+
+
+def main():
+    cli(prog_name="terndrift")
--- /dev/null
+++ b/terndrift/core/host.py
@@ -0,0 +1,60 @@
+"""The core on an event loop: a clock that fronts share, and a timer for what the core next waits for."""
+
+import time
+
+from tornado.ioloop import IOLoop
+
+SECOND = 1_000_000_000
+
+
+class Clock:
+    """Whole nanoseconds that only move forward; `of_wall` puts a time of day on the same line.
+
+    The distance between the two is measured once: a start time read twice must not become two start times,
+    or the decisions would take it for a restart."""
+
+    def __init__(self):
+        self.apart = time.time_ns() - time.monotonic_ns()
+
+    def now(self):
+        return time.monotonic_ns()
+
+    def of_wall(self, seconds):
+        """Seconds since 1970; 0 and what lies before this machine's start is "long ago": 0."""
+        return max(0, int(seconds * SECOND) - self.apart) if seconds else 0
+
+
+class Host:
+    """Steps a core: `do(core.method, ...)` is the only way in, so that the timer is never missed."""
+
+    def __init__(self, core, clock):
+        self.core, self.clock = core, clock
+        self.timer, self.timer_at = None, None
+        self.late = 0  # ns that the loop was late for a timer at most, for whoever asks
+
+    def do(self, call, *args):
+        result = call(self.clock.now(), *args)
+        self._arm()
+        return result
+
+    def _arm(self):
+        at = self.core.next_at()
+        if at is None or self.timer_at is not None and self.timer_at <= at:
+            return  # an early timer does no harm
+        loop = IOLoop.current()
+        if self.timer is not None:
+            loop.remove_timeout(self.timer)
+        self.timer_at = at
+        self.timer = loop.call_later(max(0, at - self.clock.now()) / SECOND, self._ring)
+
+    def _ring(self):
+        now = self.clock.now()
+        self.late = max(self.late, now - self.timer_at)
+        self.timer = self.timer_at = None
+        self.core.tick(now)
+        self._arm()
+
+    def stop(self):
+        if self.timer is not None:
+            IOLoop.current().remove_timeout(self.timer)
+            self.timer = self.timer_at = None
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -309,10 +309,7 @@
         able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s, len(fresh))]
         if not plan.repeatable:
             able = [s for s in able if not s.gap] or able
-        # workload, then set-up counts among near ties; 0.05 is the noise of the reports
-        use = {s: s.use(now) for s in able}
-        tie = min(use.values(), default=0.0) + 0.05
-        order = sorted(able, key=lambda s: (max(use[s], tie), s.count, use[s], self._chance()))
+        order = self._order(now, able)
         for s in order:
             rung = self._rung(now, pb, s)
             if rung is not None:
@@ -324,6 +321,12 @@
                 return self._send(now, pb, s, plan.floor)
         return False
 
+    def _order(self, now, able):
+        # workload, then set-up counts among near ties; 0.05 is the noise of the reports
+        use = {s: s.use(now) for s in able}
+        tie = min(use.values(), default=0.0) + 0.05
+        return sorted(able, key=lambda s: (max(use[s], tie), s.count, use[s], self._chance()))
+
     def seated(self, plan, title):
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
 
--- /dev/null
+++ b/terndrift/http/carrier.py
@@ -0,0 +1,170 @@
+"""Carries set-up tries to streamers over HTTP: one GET of the multivariant playlist each, hints in CMCD."""
+
+import asyncio
+from contextlib import suppress
+from urllib.parse import quote
+
+from terndrift.hints import cmcd, cmsd
+from terndrift.hints.meaning import kbit
+from terndrift.http import playlists
+from terndrift.http.client import Broken, Call, Unreached, fetch
+from terndrift.interface import Ending
+
+SECOND = 1_000_000_000
+# The hints that this project adds, under its own prefix (CTA-5004, 2.3; CTA-5006, 3.3).
+PLAYBACK, NUMBER = "com.terndrift-pb", "com.terndrift-try"
+LINK, UPLINK, STREAMS = "com.terndrift-link", "com.terndrift-uplink", "com.terndrift-streams"
+# Bytes may come this much faster than they play, so that a player keeps a little ahead.
+AHEAD = 1.25
+# Words of farewell to streamers that may be under way at once; one more is left out, as the streamer ends
+# what asks for nothing by itself. Guards the loop against a dead rack whose playbacks all end together.
+MOST_FAREWELLS = 64
+# Largest playlist that is taken from a streamer.
+LARGEST = 256 * 1024
+
+
+def report(headers):
+    """A streamer's figures, from the CMSD entry that brings them: a dict as the decisions take it."""
+    text = {name: headers[name] for name in (cmsd.STATIC, cmsd.DYNAMIC) if name in headers}
+    said, out = cmsd.parse(text), {}
+    for _, params in said.dynamic:
+        for key, name in ((LINK, "link"), (UPLINK, "uplink"), (STREAMS, "streams")):
+            value = params.get(key)
+            if isinstance(value, int | float) and not isinstance(value, bool):
+                out[name] = float(value)
+    return said, out
+
+
+class Try:
+    """What is out on the wire for a playback."""
+
+    def __init__(self, call, task):
+        self.call, self.task = call, task
+        self.playlist = self.said = None
+
+
+class HttpCarrier:
+    """`addresses` maps a streamer's id to where it listens; `connect` ns to make a connection. What a
+    playback is wanted with (`Wanted.about`) are its player's CMCD hints."""
+
+    def __init__(self, host, pool, addresses, connect):
+        self.host, self.pool, self.addresses, self.connect = host, pool, addresses, connect
+        self.tries = {}  # Carried -> Try, of tries out and playlists not yet fetched
+        self.farewells = set()
+
+    def rates(self, carried):
+        """Bytes a second, rung by rung, of this playback's plan."""
+        d = self.host.core.deployment
+        return [kb * 1000 * d.plans[carried.wanted.plan].scale for kb in d.ladder.rates]
+
+    def said_to_streamer(self, carried, hints, rung, **more):
+        """The CMCD headers of a request to a streamer: the player's hints, with ours where they rule."""
+        values, custom = hints.values, hints.custom
+        rate = self.rates(carried)[rung]
+        pace = min(rate * AHEAD, values["rtp"] * 125) if values.get("rtp") else rate * AHEAD
+        own = {"sid": values.get("sid") or carried.id, "cid": values.get("cid") or carried.wanted.title[:64],
+               "rtp": max(1, kbit(pace)), "br": kbit(rate), "sf": "h", "st": "v"}
+        custom = {**custom, PLAYBACK: (cmcd.SESSION, carried.id), NUMBER: (cmcd.SESSION, carried.tries)}
+        return cmcd.headers({**values, **own, **more}, custom)
+
+    # What the core calls.
+
+    def set_up(self, carried, streamer, rung, time_out):
+        address = self.addresses.get(streamer.id)
+        call = Call(self.pool, address or "")
+        self.tries[carried] = Try(call, asyncio.ensure_future(self._try(carried, call, rung)))
+
+    def call_off(self, carried):
+        out = self.tries.get(carried)
+        if out is None:
+            return
+        out.call.given_up = True
+
+        async def take_back():
+            sent, address = out.call.sent, out.call.address
+            await out.call.take_back()
+            out.task.cancel()
+            self._over(carried, Ending.CALLED_OFF if sent else Ending.NEVER_SENT)
+            if sent:
+                self._farewell(address, carried.id)  # it may run there with nobody to watch it
+
+        asyncio.ensure_future(take_back())
+
+    def set_rung(self, carried, rung):
+        pass  # reaches the player, and the streamer, with the player's next request
+
+    def playlist(self, carried):
+        """(playlist, CMSD) of the set-up that came to play; asked for once."""
+        out = self.tries.pop(carried)
+        return out.playlist, out.said
+
+    def let_go(self, carried, streamer):
+        self.tries.pop(carried, None)
+        if address := self.addresses.get(streamer.id):
+            self._farewell(address, carried.id)
+
+    # The wire.
+
+    async def _try(self, carried, call, rung):
+        plan = self.host.core.deployment.plans[carried.wanted.plan]
+        if not call.address:
+            await asyncio.sleep(0)
+            return self._over(carried, Ending.UNREACHED)
+        try:
+            await call.open(self.connect / SECOND, fresh=not plan.repeatable)
+        except Unreached:
+            return self._over(carried, Ending.UNREACHED)
+        if call.given_up:
+            return None
+        if not self.host.core.may_send(self.host.clock.now(), carried):
+            self.pool.give(call.address, call.stream)
+            return self._over(carried, Ending.NEVER_SENT)
+        body = bytearray()
+
+        def collect(chunk):
+            body.extend(chunk)
+            if len(body) > LARGEST:
+                call.close()
+
+        try:
+            target = f"/v/{quote(carried.wanted.title, safe='')}/main.m3u8"
+            headers = self.said_to_streamer(carried, carried.wanted.about, rung, ot="m", su=True)
+            code = await call.run("GET", target, headers, on_chunk=collect)
+        except Broken:
+            return None if call.given_up else self._over(carried, Ending.BROKEN)
+        if call.given_up:
+            return None
+        said, figures = report(call.headers)
+        if code != 200:
+            # a streamer's 503 is its word that it did nothing (docs/path.md); any other may have run
+            return self._over(carried, Ending.FULL if code == 503 else Ending.ERRED, figures)
+        out = self.tries[carried]
+        try:
+            out.playlist = playlists.offered(bytes(body), len(self.host.core.deployment.ladder.rates),
+                                             plan.floor, carried.wanted.top)
+        except playlists.Unusable:
+            self._farewell(call.address, carried.id)
+            return self._over(carried, Ending.ERRED, figures)
+        out.said = said
+        return self.host.do(self.host.core.began, carried, figures)
+
+    def _over(self, carried, ending, figures=None):
+        self.tries.pop(carried, None)
+        self.host.do(self.host.core.try_over, carried, ending, figures)
+
+    def _farewell(self, address, id):
+        if len(self.farewells) >= MOST_FAREWELLS:
+            return
+
+        async def say():
+            with suppress(Unreached, Broken):  # gone, or slow: it ends what asks for nothing by itself
+                await fetch(self.pool, address, "DELETE", f"/s/{id}", connect=0.25, within=1.0)
+
+        task = asyncio.ensure_future(say())
+        self.farewells.add(task)
+        task.add_done_callback(self.farewells.discard)
+
+    def close(self):
+        for out in list(self.tries.values()):
+            out.call.close()
+            out.task.cancel()
--- /dev/null
+++ b/terndrift/http/front.py
@@ -0,0 +1,343 @@
+"""The HTTP front: a viewer's playlist request becomes a wanted playback; what plays is relayed and shaped.
+
+    GET /v/<title>/main.m3u8          a set-up: 200 plays, 503 rejected, 504 aborted, 404 no such title
+    GET /p/<name>/r<rung>/index.m3u8  a rung's playlist, of a playback that plays
+    GET /p/<name>/r<rung>/<n>.ts      a segment, at the rung in force or the one asked for, the lower
+    DELETE /p/<name>                  the viewer leaves
+"""
+
+import asyncio
+import math
+import secrets
+from urllib.parse import quote, unquote
+
+from terndrift.core.carried import Kind, Wanted
+from terndrift.core.gate import Gate
+from terndrift.core.meter import Meter, Rationed
+from terndrift.core.visits import Visits
+from terndrift.hints import cmcd, cmsd
+from terndrift.hints.meaning import kbit, understand
+from terndrift.http.carrier import report
+from terndrift.http.client import Broken, Call, Unreached
+from terndrift.http.playlists import TYPE
+from terndrift.http.seats import MOST_OUT, Seats
+from terndrift.http.server import Gone
+from terndrift.interface import Ending
+
+SECOND = 1_000_000_000
+MANIFEST_STATIC = cmsd.static_header({"ot": "m", "sf": "h", "st": "v"})
+
+
+class Awaited:
+    """A playback whose answer requests wait for: one, or more of the same visit."""
+
+    def __init__(self):
+        self.carried, self.answer, self.waiters = None, None, {}  # exchange -> future
+        self.playlist = self.said = self.seat = None
+
+
+class Front:
+    """`titles(name)`: (plan, its abandon time, holders' cells, segments, length in ns), or None."""
+
+    def __init__(self, host, carrier, titles, limits, log):
+        self.host, self.carrier, self.titles, self.log = host, carrier, titles, log
+        core = host.core
+        self.gate = Gate(limits.open, core.deployment.seed)
+        self.visits = Visits(limits.playbacks)
+        self.seats = Seats(limits.idle, limits.playbacks)
+        self.meter, self.rationed = Meter(), Rationed()
+        self.relays = {}  # Relay -> None, of segments under way
+        self.draining = False
+        self.stall = limits.stall  # a streamer that takes longer over a segment stands still
+
+    def now(self):
+        return self.host.clock.now()
+
+    async def handle(self, exchange):
+        parts = exchange.path.split("/")
+        if exchange.method not in ("GET", "DELETE"):
+            return await exchange.reply(405, {"Allow": "GET, DELETE"}, text="only GET and DELETE")
+        if len(parts) == 4 and parts[1] == "v" and parts[3] == "main.m3u8" and exchange.method == "GET":
+            return await self._set_up(exchange, unquote(parts[2], errors="replace"))
+        if len(parts) >= 3 and parts[1] == "p":
+            seat = self.seats.seats.get(parts[2])
+            if seat is None:
+                return await exchange.reply(404, text="no such playback")
+            if exchange.method == "DELETE" and len(parts) == 3:
+                self.host.do(self.host.core.left, seat.carried)
+                self.seats.over(self.now(), seat)
+                return await exchange.reply(204)
+            rung, file = _rung(parts), parts[4] if len(parts) == 5 else ""
+            if rung is not None and exchange.method == "GET":
+                if seat.over_at is not None or seat.carried.stage.value == "over":
+                    self.seats.over(self.now(), seat)
+                    return await exchange.reply(410, text="this playback is over")
+                if file == "index.m3u8":
+                    return await self._relay(exchange, seat, rung, None)
+                number = _number(file)
+                if number is not None and number < seat.segments:
+                    return await self._relay(exchange, seat, rung, number)
+        return await exchange.reply(404, text="nothing here")
+
+    def _hints(self, exchange):
+        text = {h: ",".join(v) for h in cmcd.HEADERS if (v := exchange.headers.get_list(h))}
+        return cmcd.parse(text, cmcd.from_query(exchange.query) if "CMCD=" in exchange.query else None)
+
+    # Set-ups.
+
+    async def _set_up(self, exchange, title):
+        now, core = self.now(), self.host.core
+        found = self.titles(title)
+        if found is None:
+            return await exchange.reply(404, text="no such title")
+        plan_name, abandon, cells, segments, length = found
+        plan = core.deployment.plans[plan_name]
+        hints = self._hints(exchange)
+        rates = [kb * 1000 * plan.scale for kb in core.deployment.ladder.rates]
+        asked = understand(hints, title, plan.floor, plan.top, rates, abandon)
+        for what in asked.ignored:
+            self.log.info("hint ignored", key=what.key, why=what.why, title=title)
+        visit, joins = self.visits.come(now, asked.visit, title)
+        source = exchange.source
+        wait = SECOND if self.draining or self.seats.full() else self.gate.enter(now, source)
+        if wait:
+            return await self._turn_away(exchange, wait)
+        try:
+            if joins:
+                awaited = visit.awaited
+            else:
+                awaited = self._want(now, Wanted(
+                    plan_name, title, cells, asked.top, asked.time_left, length, hints), visit)
+            answer = await self._await(exchange, awaited)
+        finally:
+            self.gate.leave(self.now(), source)
+        if answer is None:
+            return None  # this viewer has left
+        if answer.kind is Kind.PLAYS:
+            return await self._plays(exchange, awaited, segments)
+        if answer.kind is Kind.REJECTED:
+            return await self._turn_away(exchange, answer.come_back)
+        return await exchange.reply(504, text=answer.why or "aborted")
+
+    async def _turn_away(self, exchange, come_back):
+        advice = {"Retry-After": str(math.ceil(come_back / SECOND))} if come_back else {}
+        await exchange.reply(503, advice, text="not now")
+
+    def _want(self, now, wanted, visit):
+        awaited = Awaited()
+
+        def answered(answer):
+            awaited.answer = answer
+            if answer.kind is Kind.PLAYS:
+                awaited.playlist, awaited.said = self.carrier.playlist(awaited.carried)
+            if visit is not None:
+                self.visits.answered(visit, awaited)
+            for waiter in awaited.waiters.values():
+                if not waiter.done():
+                    waiter.set_result(answer)
+
+        if visit is not None:
+            self.visits.taken(visit, awaited)
+        awaited.carried = self.host.do(self.host.core.want, wanted, self.carrier, answered)
+        return awaited
+
+    async def _await(self, exchange, awaited):
+        """The answer, or None if this viewer leaves first; the playback is left once all of them have."""
+        waiter = awaited.waiters[exchange] = asyncio.get_running_loop().create_future()
+        if awaited.answer is not None:
+            waiter.set_result(awaited.answer)
+
+        def left():
+            if not waiter.done():
+                waiter.set_result(None)
+            awaited.waiters.pop(exchange, None)
+            if not awaited.waiters and awaited.answer is None:
+                self.host.do(self.host.core.left, awaited.carried)
+
+        exchange.on_gone = left
+        if exchange.gone:
+            left()
+        return await waiter
+
+    async def _plays(self, exchange, awaited, segments):
+        carried = awaited.carried
+        if awaited.seat is None:
+            awaited.seat = self.seats.add(self.now(), secrets.token_urlsafe(12), carried, segments)
+        awaited.seat.heard = self.now()
+        body = awaited.playlist.replace("{base}", f"/p/{awaited.seat.name}").encode()
+        headers = {"Content-Type": TYPE, "Cache-Control": "no-store", cmsd.STATIC: MANIFEST_STATIC,
+                   cmsd.DYNAMIC: self._dynamic(awaited.said, carried)}
+        try:
+            await exchange.reply(200, headers, body)
+        except Gone:
+            awaited.waiters.pop(exchange, None)
+            if not awaited.waiters:
+                self._over(awaited.seat)
+            raise
+
+    def _dynamic(self, said, carried):
+        """The streamers' entries and this controller's own, which tells the rung in force as `mb`."""
+        rate = self.carrier.rates(carried)[carried.rung]
+        return cmsd.dynamic_header([*said.dynamic, (f"terndrift/{self.host.core.name}", {"mb": kbit(rate)})])
+
+    def _over(self, seat, ending=None):
+        self.seats.over(self.now(), seat)
+        if ending is None:
+            self.host.do(self.host.core.left, seat.carried)
+        else:
+            self.host.do(self.host.core.over, seat.carried, ending)
+
+    # What plays.
+
+    async def _relay(self, exchange, seat, asked, number):
+        """A rung's playlist (`number` None) or a segment, from the playback's streamer to its player."""
+        carried, core = seat.carried, self.host.core
+        hints = self._hints(exchange)
+        self.seats.heard(self.now(), seat, hints)
+        if seat.out >= MOST_OUT:
+            return await exchange.reply(429, {"Retry-After": "1"}, text="too many requests at once")
+        plan = core.deployment.plans[carried.wanted.plan]
+        rung = self.seats.rung(seat, plan.floor, asked)
+        relay = Relay(self, exchange, seat, rung, number, hints)
+        seat.out += 1
+        self.relays[relay] = None
+        try:
+            await relay.run()
+        finally:
+            seat.out -= 1
+            seat.heard = self.now()
+            del self.relays[relay]
+        return None
+
+    def every_second(self):
+        """Tells what was measured, and ends what has fallen silent."""
+        now = self.now()
+        for relay in list(self.relays):
+            self.meter.standing(now, relay.streamer, relay.should, relay.waited(now))
+            if relay.waited(now) > self.stall:
+                relay.give_up()
+        for streamer, share in self.meter.due(now):
+            self.host.do(self.host.core.told_share, streamer, share)
+        for seat in self.seats.silent(now):
+            self._over(seat)
+
+    def playing(self):
+        return sum(seat.over_at is None for seat in self.seats.seats.values())
+
+    def close(self):
+        for seat in self.seats.seats.values():
+            if seat.over_at is None:
+                self._over(seat)
+
+
+class Relay:
+    """One answer passed on from a streamer, no faster than its player takes it."""
+
+    def __init__(self, front, exchange, seat, rung, number, hints):
+        self.front, self.exchange, self.seat, self.rung, self.number = front, exchange, seat, rung, number
+        self.hints, carried = hints, seat.carried
+        self.streamer = carried.streamer.id
+        self.should = 0 if number is None else carried.wanted.length // max(1, seat.segments)
+        self.began, self.blocked, self.blocked_since = front.now(), 0, 0
+        self.head_out, self.code = False, 0
+        self.call, self.stood_still = None, False
+
+    def waited(self, now):
+        """ns spent waiting for the streamer so far: what the player took is not its fault."""
+        blocked = self.blocked + (now - self.blocked_since if self.blocked_since else 0)
+        return now - self.began - blocked
+
+    async def run(self):
+        front, carried = self.front, self.seat.carried
+        address = front.carrier.addresses.get(self.streamer)
+        file = "index.m3u8" if self.number is None else f"{self.number}.ts"
+        target = f"/v/{quote(carried.wanted.title, safe='')}/r{self.rung}/{file}"
+        headers = front.carrier.said_to_streamer(
+            carried, self.hints, self.rung, ot="m" if self.number is None else "av",
+            d=None if self.number is None else self.should // 1_000_000)
+        # an idle connection may just have been closed by the other side: media may be asked for again, once
+        for fresh in (False, True):
+            call = Call(front.carrier.pool, address or "")
+            self.call, self.exchange.on_gone = call, call.close
+            try:
+                await call.open(front.carrier.connect / SECOND, fresh)
+                await call.run("GET", target, headers, self._head, self._chunk)
+                return await self._done()
+            except Unreached:
+                return await self._lost(Ending.BROKEN)
+            except Broken:
+                if self.exchange.gone:
+                    return None
+                if self.stood_still:
+                    return await self._lost(Ending.SILENT)
+                if self.head_out:
+                    # its player must not take half a segment for a whole one, and will ask again
+                    return self.exchange.cut()
+        return await self._lost(Ending.BROKEN)
+
+    def give_up(self):
+        """The streamer stands still: what is under way there is ended, and the playback with it."""
+        self.stood_still = True
+        self.call.close()
+
+    def _head(self, code, headers):
+        front, self.code = self.front, code
+        now = front.now()
+        said, figures = report(headers)
+        if figures and front.rationed.due(now, self.streamer):
+            front.host.do(front.host.core.told_use, self.seat.carried,
+                          figures.get("link"), figures.get("uplink"))
+        if code != 200:
+            return None
+        out = {"Content-Type": headers.get("Content-Type", "application/octet-stream"),
+               cmsd.DYNAMIC: front._dynamic(said, self.seat.carried)}
+        if said.static or said.custom:
+            out[cmsd.STATIC] = cmsd.static_header(said.static, said.custom)
+        length = headers.get("Content-Length")
+        self.exchange.start(200, out, int(length) if length and length.isdigit() else None)
+        self.head_out = True
+        return None
+
+    async def _chunk(self, chunk):
+        if not self.head_out:
+            return
+        self.blocked_since = self.front.now()
+        try:
+            await self.exchange.took(self.exchange.connection.write(chunk))
+        except Gone:  # not to be raised through the connection that the streamer's answer comes by
+            self.call.close()
+        self.blocked += self.front.now() - self.blocked_since
+        self.blocked_since = 0
+
+    async def _done(self):
+        front, seat = self.front, self.seat
+        if self.code != 200:
+            if self.code in (404, 410):
+                return await self._lost(Ending.BROKEN)  # it does not know this playback: it has started anew
+            return await self.exchange.reply(502, text="the streamer did not deliver")
+        now = front.now()
+        front.meter.delivered(now, self.streamer, self.should, self.waited(now))
+        self.exchange.finish_answer()
+        if self.number is not None and front.seats.delivered(seat, self.number) and seat.over_at is None:
+            front._over(seat, Ending.PLAYED_OUT)
+        return None
+
+    async def _lost(self, ending):
+        """The streamer is gone, or this playback is, there: it is over, and its viewer is told so at once."""
+        if self.seat.over_at is None:
+            self.front._over(self.seat, ending)
+        if self.head_out:
+            return self.exchange.cut()
+        return await self.exchange.reply(410, text="this playback is over")
+
+
+def _number(file):
+    number = file.removesuffix(".ts")
+    plain = file.endswith(".ts") and number.isascii() and number.isdigit() and len(number) < 8
+    return int(number) if plain else None
+
+
+def _rung(parts):
+    if len(parts) == 5 and parts[3][:1] == "r" and parts[3][1:].isascii() and parts[3][1:].isdigit():
+        return int(parts[3][1:4])
+    return None
--- /dev/null
+++ b/terndrift/http/server.py
@@ -0,0 +1,193 @@
+"""A listener that hands each request to one coroutine, and bounds what a client can make it hold."""
+
+import asyncio
+import json
+import socket
+import time
+
+from tornado import httputil
+from tornado.http1connection import HTTP1ConnectionParameters, HTTP1ServerConnection
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout", 409: "Conflict", 410: "Gone", 412: "Precondition Failed",
+           413: "Content Too Large", 415: "Unsupported Media Type", 422: "Unprocessable Content",
+           428: "Precondition Required", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+           504: "Gateway Timeout"}
+
+
+class Gone(Exception):
+    """The client of an exchange has left, or takes nothing any more."""
+
+
+class Exchange(httputil.HTTPMessageDelegate):
+    """One request and its one answer."""
+
+    def __init__(self, server, connection, stream):
+        self.server, self.connection, self.stream = server, connection, stream
+        self.method = self.path = self.query = ""
+        self.headers, self.body = httputil.HTTPHeaders(), bytearray()
+        self.answered, self.gone, self.too_large = False, False, False
+        self.on_gone = None  # called once, if the client leaves before the answer is out
+        self.task = None
+        self.began = 0
+
+    @property
+    def source(self):
+        return self.server.peers.get(self.stream, "?")
+
+    def headers_received(self, start_line, headers):
+        self.began = time.monotonic_ns()
+        self.method, self.headers = start_line.method, headers
+        self.path, _, self.query = start_line.path.partition("?")
+        size = len(start_line.path) + sum(len(k) + len(v) + 4 for k, v in headers.get_all())
+        self.too_large = size > self.server.header_size
+        return None
+
+    def data_received(self, chunk):
+        self.body += chunk  # bounded by max_body_size of the connection
+
+    def finish(self):
+        self.connection.set_close_callback(self._left)
+        self.server.exchanges.add(self)
+        self.task = asyncio.ensure_future(self._serve())
+
+    def on_connection_close(self):
+        self._left()
+
+    def _left(self):
+        if not self.gone and not self.answered:
+            self.gone = True
+            if self.on_gone:
+                self.on_gone()
+
+    async def _serve(self):
+        try:
+            if self.too_large:
+                await self.reply(431, text="headers too large")
+            else:
+                await self.server.handle(self)
+            if not self.answered and not self.gone:
+                await self.reply(500, text="no answer was made")
+        except (Gone, StreamClosedError):
+            self._left()
+        except Exception as fault:  # told by the server's owner; the client gets an answer if none went out
+            self.server.fault(self, fault)
+            if not self.answered and not self.gone:
+                try:
+                    await self.reply(500, text="internal error")
+                except (Gone, StreamClosedError):
+                    self._left()
+            else:
+                self.stream.close()
+        finally:
+            self.server.exchanges.discard(self)
+
+    def start(self, code, headers, length=None):
+        """Sends the head of the answer; `length` None: sent in chunks. Awaitable: until it is taken."""
+        if self.gone:
+            raise Gone
+        self.answered = True
+        out = httputil.HTTPHeaders(headers)
+        if length is not None:
+            out["Content-Length"] = str(length)
+        if self.server.closing:
+            out["Connection"] = "close"
+            self.connection._disconnect_on_finish = True
+        return self.connection.write_headers(
+            httputil.ResponseStartLine("HTTP/1.1", code, REASONS.get(code, "Unknown")), out)
+
+    async def reply(self, code, headers=(), body=b"", text=None, data=None):
+        """The whole answer: `body` bytes, or `text`, or `data` as JSON."""
+        headers = dict(headers)
+        if data is not None:
+            body = json.dumps(data).encode()
+            headers.setdefault("Content-Type", "application/json")
+        elif text is not None:
+            body = (text + "\n").encode()
+            headers.setdefault("Content-Type", "text/plain; charset=utf-8")
+        length = None if code == 204 else len(body)
+        head = self.start(code, headers, length)
+        if body and self.method != "HEAD":
+            head = self.connection.write(body)
+        self.connection.finish()
+        await self.took(head)
+
+    async def took(self, written, within=None):
+        """Waits until the client's socket has taken what was written; raises Gone if it does not in time."""
+        try:
+            await asyncio.wait_for(asyncio.shield(written), within or self.server.stall)
+        except (TimeoutError, StreamClosedError):
+            self.gone = True
+            self.stream.close()
+            raise Gone from None
+
+    def finish_answer(self):
+        if not self.stream.closed():
+            self.connection.finish()
+
+    def cut(self):
+        """Breaks the answer off: the client must not take what it has for all there is."""
+        self.stream.close()
+
+
+class Server(TCPServer, httputil.HTTPServerConnectionDelegate):
+    """Serves `handle(exchange)`, a coroutine that answers once. `fault(exchange, error)` hears of a bug.
+
+    `connections` bounds how many are open; one more is answered 503 and closed."""
+
+    def __init__(self, handle, connections=4000, header_size=16384, header_time=15.0, stall=10.0,
+                 body_size=65536, fault=None):
+        super().__init__(max_buffer_size=max(4 * header_size, body_size, 262144), read_chunk_size=65536)
+        self.handle, self.most, self.header_size, self.stall = handle, connections, header_size, stall
+        self.fault = fault or (lambda exchange, error: None)
+        self.params = HTTP1ConnectionParameters(
+            chunk_size=65536, max_header_size=4 * header_size, header_timeout=header_time,
+            max_body_size=body_size, body_timeout=header_time)
+        self.peers = {}  # stream -> address of the client
+        self.wires = {}  # stream -> HTTP1ServerConnection
+        self.exchanges = set()
+        self.closing, self.turned_away = False, 0
+
+    def listen_on(self, address):
+        """Listens on 'host:port' (port 0: the system's choice) and returns the address in force."""
+        host, _, port = address.rpartition(":")
+        sockets = bind_sockets(int(port), host, family=socket.AF_INET, backlog=1024)
+        self.add_sockets(sockets)
+        return "%s:%d" % sockets[0].getsockname()[:2]
+
+    def handle_stream(self, stream, address):
+        if len(self.peers) >= self.most:
+            self.turned_away += 1
+            stream.write(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+                         b"Connection: close\r\nContent-Length: 0\r\n\r\n").add_done_callback(
+                             lambda done: (done.exception(), stream.close()))
+            return
+        # small answers must not wait for the client's delayed acknowledgements
+        stream.set_nodelay(True)
+        self.peers[stream] = address[0]
+        wire = self.wires[stream] = HTTP1ServerConnection(stream, self.params)
+        wire.start_serving(self)
+
+    def start_request(self, server_conn, request_conn):
+        return Exchange(self, request_conn, server_conn.stream)
+
+    def on_close(self, server_conn):
+        self.peers.pop(server_conn.stream, None)
+        self.wires.pop(server_conn.stream, None)
+
+    async def drain(self, seconds):
+        """Takes no new connections, lets what is being answered finish for so long, then closes the rest."""
+        self.closing = True
+        self.stop()
+        until = time.monotonic() + seconds
+        while self.exchanges and time.monotonic() < until:
+            await asyncio.wait([e.task for e in self.exchanges], timeout=max(0, until - time.monotonic()))
+        self.close_all()
+
+    def close_all(self):
+        for stream in list(self.peers):
+            stream.close()
--- /dev/null
+++ b/terndrift/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what lies outside: streamers with links and faults, and players."""
