--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -136,6 +136,36 @@
     sys.exit(asyncio.run(run(click.echo, seconds, try_it)))
 
 
+@cli.command()
+@click.argument("day")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--controllers", type=click.IntRange(1, 64), default=3, show_default=True)
+@click.option("--streamers", type=click.IntRange(1, 512), default=12, show_default=True)
+@click.option("--seconds", type=click.IntRange(5, 7200), default=60, show_default=True)
+@click.option("--policy", default="design", show_default=True, help="The design, or a baseline beside it.")
+@click.option("--report", "out", type=click.Path(dir_okay=False), help="Write the report here, as JSON.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep ledgers and logs in this folder.")
+def rehearse(day, seed, controllers, streamers, seconds, policy, out, keep):
+    """Play DAY (a name, or a day's records file) on loopback; exit 0 only if all six rules held."""
+    import os
+
+    from terndrift.rehearse import run
+
+    if keep:
+        os.makedirs(keep, exist_ok=True)
+    rehearsal = run.Rehearsal(run.load(day), seed, controllers, streamers, seconds, policy, keep)
+    try:
+        report = asyncio.run(rehearsal.run())
+    except run.NotStarted as wrong:
+        click.echo(f"terndrift: {wrong}", err=True)
+        sys.exit(3)
+    if out:
+        with open(out, "w", encoding="utf-8") as file:
+            json.dump({"day": day, **report}, file, indent=1)
+    click.echo(json.dumps(report, indent=1))
+    sys.exit(1 if any(report["rules"].values()) or report["bugs"] else 0)
+
+
 @cli.group()
 def hints():
     """CMCD and CMSD hints."""
--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -25,6 +25,8 @@
 
     def __init__(self, deployment, now, name="c0", drain_grace=0, watch=None, decisions=Controller):
         self.deployment, self.name = deployment, name
+        # the same controller started again must not use a name twice: streamers may still hold the old one
+        self.run = f"{name}~{now:x}"
         self.controller = decisions(deployment, now)
         self.watch = watch or (lambda *_, **__: None)
         self.drain_grace = drain_grace
@@ -41,7 +43,7 @@
 
     def want(self, now, wanted, carrier, answered):
         """Takes a playback; `answered(answer)` is called once, by its abandon time at the latest."""
-        carried = Carried(f"{self.name}-{next(self.ids)}", wanted, carrier, answered, now)
+        carried = Carried(f"{self.run}-{next(self.ids)}", wanted, carrier, answered, now)
         carried.rung = self.deployment.plans[wanted.plan].floor
         self.held[carried.id] = carried
         self.open += 1
@@ -54,7 +56,7 @@
 
     def hand_over(self, now, wanted, carrier, streamer, rung):
         """A playback that plays already at that streamer (an id), as after a controller's restart."""
-        carried = Carried(f"{self.name}-{next(self.ids)}", wanted, carrier, lambda _: None, now)
+        carried = Carried(f"{self.run}-{next(self.ids)}", wanted, carrier, lambda _: None, now)
         self.held[carried.id], carried.rung = carried, rung
         entry = self.controller.streamers.get(streamer)
         if entry is None:
--- a/terndrift/hints/fields.py
+++ b/terndrift/hints/fields.py
@@ -112,16 +112,20 @@
 def written(pairs):
     """A dictionary as text, keys in order of the alphabet as CTA-5004 asks."""
     out = http_sfv.Dictionary()
+    if not pairs:
+        return ""  # the library has no text for a dictionary of nothing: such a header is not sent
     try:
         for key in sorted(pairs):
             out[key] = http_sfv.Item(_writable(pairs[key]))
         return str(out)
-    except (ValueError, TypeError, ArithmeticError) as wrong:
-        raise Malformed(f"{key}={pairs[key]!r}: {wrong or 'not to be written'}") from None
+    except (ValueError, TypeError, ArithmeticError, AttributeError) as wrong:
+        raise Malformed(f"{pairs!r}: {wrong or 'not to be written'}") from None
 
 
 def written_hops(entries):
     out = http_sfv.List()
+    if not entries:
+        return ""
     try:
         for name, params in entries:
             item = http_sfv.Item(str(name))
@@ -129,7 +133,7 @@
                 item.params[key] = _writable(params[key])
             out.append(item)
         return str(out)
-    except (ValueError, TypeError, ArithmeticError) as wrong:
+    except (ValueError, TypeError, ArithmeticError, AttributeError) as wrong:
         raise Malformed(f"{entries!r}: {wrong or 'not to be written'}") from None
 
 
--- /dev/null
+++ b/terndrift/rehearse/draw.py
@@ -0,0 +1,109 @@
+"""A day drawn: from a day's record and a seed to who comes when, what breaks when, and what the list says.
+
+Free of I/O; the same record, seed and sizes give the same day.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+SECOND = 1_000_000_000
+
+
+@dataclass
+class Drawn:
+    streamers: list = field(default_factory=list)  # dicts: name, id, rack, link
+    uplinks: dict = field(default_factory=dict)  # rack -> bytes a second
+    faults: list = field(default_factory=list)  # dicts as fleet.rec's #Fault, times in ns
+    edits: list = field(default_factory=list)  # (ns, streamer id, standing, ns of its start or None)
+    kills: list = field(default_factory=list)  # (ns, controller's number, ns until it starts again)
+    arrivals: list = field(default_factory=list)  # dicts of viewers, in order of time
+
+
+def drawn(day, seed, controllers, streamers, seconds):
+    chance, out = random.Random(seed), Drawn()
+    racks = min(day["fleet"]["racks"], streamers)
+    uneven = day["fleet"]["uneven"]
+    for n in range(streamers):
+        link = day["fleet"]["link"] * (1 + uneven * chance.uniform(-1, 1))
+        out.streamers.append({"name": f"s{n}", "id": 100 + n, "rack": n % racks, "link": link})
+    for rack in range(racks):
+        links = sum(s["link"] for s in out.streamers if s["rack"] == rack)
+        out.uplinks[rack] = links * day["fleet"]["uplink"] * (1 + uneven * chance.uniform(-1, 1))
+    rates = [(0, day["viewers"]["rate"])]
+    late = day["list_late"]
+    for trouble in day["troubles"]:
+        at = int(trouble["from"] * seconds * SECOND)
+        kind, lasts = trouble["kind"], trouble["lasts"]
+        some = _share(chance, [s["id"] for s in out.streamers], trouble["share"])
+        fault = {"at": at, "lasts": lasts, "kind": kind, "size": trouble["size"], "streamers": some,
+                 "racks": []}
+        if kind == "surge":
+            rates += [(at, day["viewers"]["rate"] * trouble["size"]), (at + lasts, day["viewers"]["rate"])]
+        elif kind == "kill":
+            out.kills += [(at, n, lasts) for n in _share(chance, range(controllers), trouble["share"])]
+        elif kind == "uplink":
+            weak = _share(chance, range(racks), trouble["share"])
+            out.faults.append({**fault, "streamers": [], "racks": weak})
+        elif kind == "roll":
+            _roll(out, some, at, lasts, late)
+        else:
+            out.faults.append(fault)
+            if kind == "die":
+                out.edits += [(at + late, i, "gone", None) for i in some]
+                out.edits += [(at + lasts + late, i, "ready", at + lasts) for i in some]
+    out.edits.sort(key=lambda e: e[:2])
+    out.arrivals = _viewers(day, chance, rates, seconds)
+    return out
+
+
+def _share(chance, among, share):
+    among = list(among)
+    return sorted(chance.sample(among, max(1, round(share * len(among)))))
+
+
+def _roll(out, ids, at, lasts, late):
+    """One after the other: told to drain, gone after a third of its turn, back cold after two thirds."""
+    turn = lasts // len(ids)
+    for n, id in enumerate(ids):
+        begin = at + n * turn
+        gone, back = begin + turn // 3, begin + 2 * turn // 3
+        out.faults.append({"at": gone, "lasts": back - gone, "kind": "die", "size": 1.0,
+                           "streamers": [id], "racks": []})
+        out.edits += [(begin, id, "draining", None), (back + late // 3, id, "ready", back)]
+
+
+ODD = (  # hints that players get wrong: the set-up must play all the same
+    {"CMCD-Request": "bl=,mtp=-3,,dl=\"x\""},
+    {"CMCD-Object": "tb=1,br=99999999999999999999"},
+    {"CMCD-Session": "sid=\"" + "x" * 300 + "\",cid=5"},
+    {"CMCD-Status": "bs=maybe,rtp"},
+)
+
+
+def _viewers(day, chance, rates, seconds):
+    titles = sorted(day["deployment"]["titles"])
+    weights = [1 / (n + 1) ** day["viewers"]["zipf"] for n in range(len(titles))]
+    chance.shuffle(titles)
+    ladder = day["deployment"]["ladder"]["rates"]
+    rates, out, at, n = sorted(rates), [], 0.0, 0
+    while True:
+        now = int(at * SECOND)
+        rate = [r for t, r in rates if t <= now][-1]
+        at += chance.expovariate(rate)
+        if at >= seconds:
+            return out
+        title = chance.choices(titles, weights)[0]
+        row = day["deployment"]["titles"][title]
+        plan = day["deployment"]["plans"][row["plan"]]
+        small = chance.random() < day["viewers"]["small"]
+        top = max(plan["floor"], len(ladder) // 2 - 1) if small else len(ladder) - 1
+        leaves = chance.random() < day["viewers"]["leave"]
+        length = row["seconds"] * (chance.uniform(0.3, 0.9) if leaves else 1)
+        out.append({
+            "at": int(at * SECOND), "visit": f"v{n}", "title": title, "plan": row["plan"],
+            "abandon": plan["abandon"] / SECOND, "seconds": length, "top_rung": top,
+            "top": int(ladder[top] * plan["scale"] * 8 / 1000) if small else None,
+            "returns": chance.random() < day["viewers"]["returns"], "pause": chance.uniform(0.5, 2.5),
+            "odd": chance.randrange(len(ODD)) if chance.random() < day["viewers"]["odd"] else None,
+            "luck": chance.random()})
+        n += 1
--- /dev/null
+++ b/terndrift/rehearse/run.py
@@ -0,0 +1,224 @@
+"""Runs a day: controllers, stand-in racks and viewers as processes, the list, the kills, the audit."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import time
+
+import msgspec
+
+from terndrift import deployment, records
+from terndrift.audit import figures, judge
+from terndrift.rehearse.draw import drawn
+from terndrift.standin.fleet import write_list
+from terndrift.standin.ledger import Ledger, read
+
+SECOND = 1_000_000_000
+LIST_POLL = 0.1
+# How long the last viewers may go on after the last arrival: the longest title, a break and a return.
+TAIL = 25.0
+
+
+class NotStarted(RuntimeError):
+    """A process of the rehearsal did not come up; says which, and what it said."""
+
+
+def written(value, indent=0):
+    """A plain value in the record language."""
+    pad = "\t" * indent
+    if isinstance(value, dict):
+        inner = "".join(f"{pad}\t{msgspec.json.encode(str(k)).decode()}: {written(v, indent + 1)}\n"
+                        for k, v in value.items())
+        return "{\n" + inner + pad + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(written(v, indent + 1) for v in value) + "]"
+    return value if isinstance(value, Raw) else msgspec.json.encode(value).decode()
+
+
+class Raw(str):
+    """Text of the language itself, such as a quantity with its unit."""
+
+
+def ns(value):
+    return Raw(f"{int(value)}ns")
+
+
+def rate(value):
+    return Raw(f"{value:.3f}B/s")
+
+
+def deployment_text(d):
+    """A deployment's plain value back in the language: durations and rates get their units again."""
+    plans = {n: {**p, "startup_target": ns(p["startup_target"]), "abandon": ns(p["abandon"])}
+             for n, p in d["plans"].items()}
+    ladder = {**d["ladder"], "rates": [rate(r) for r in d["ladder"]["rates"]],
+              "switch_cost": ns(d["ladder"]["switch_cost"])}
+    links = {**d["links"], "unit": rate(d["links"]["unit"]), "uplink": rate(d["links"]["uplink"]),
+             "lag": ns(d["links"]["lag"])}
+    times = ("drain_grace", "cold_for", "fall_window", "extra_window", "longest_advice")
+    rules = {k: ns(v) if k in times else v for k, v in d["rules"].items()}
+    return {"plans": plans, "ladder": ladder, "links": links, "rules": rules, "titles": d["titles"],
+            "segment": ns(d["segment"])}
+
+
+class Rehearsal:
+    def __init__(self, day, seed, controllers, streamers, seconds, policy="design", folder=None):
+        self.day, self.seed, self.seconds, self.policy = day, seed, seconds, policy
+        self.controllers, self.folder = controllers, folder
+        self.drawn = drawn(day, seed, controllers, streamers, seconds)
+        self.processes, self.started, self.standing = {}, {}, {}
+        self.lines, self.addresses = {}, []
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    async def run(self):
+        """The report (see `figures.report`)."""
+        own = None
+        if self.folder is None:
+            own = tempfile.TemporaryDirectory()
+            self.folder = own.name
+        self.ledger = Ledger(self.path("runner.jsonl"))
+        try:
+            await self._start()
+            await self._day()
+        finally:
+            await self._stop()
+            self.ledger.flush()
+        report = self.report()
+        if own:
+            own.cleanup()
+        return report
+
+    async def _spawn(self, name, *args):
+        log = open(self.path(f"{name}.log"), "ab")  # noqa: SIM115 - the child's own
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", *args, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+        log.close()
+        self.processes[name] = process
+        return process
+
+    async def _appears(self, name, file):
+        """Waits for a file that a process writes once it is ready."""
+        until = time.monotonic() + 60
+        while not os.path.exists(file):
+            process = self.processes[name]
+            if process.returncode is not None or time.monotonic() > until:
+                with open(self.path(f"{name}.log"), encoding="utf-8", errors="replace") as log:
+                    raise NotStarted(f"{name}: {log.read()[-2000:]}")
+            await asyncio.sleep(0.02)
+
+    async def _start(self):
+        d = self.day["deployment"]
+        # room for the processes to come up; the day's own time starts then
+        self.begin = time.time() + 4.0 + 0.1 * self.controllers
+        racks = sorted(self.drawn.uplinks)
+        for rack in racks:
+            mine = [s for s in self.drawn.streamers if s["rack"] == rack]
+            ids = {s["id"] for s in mine}
+            script = [{**f, "at": ns(f["at"]), "lasts": ns(f["lasts"]),
+                       "streamers": [i for i in f["streamers"] if i in ids],
+                       "racks": [r for r in f["racks"] if r == rack]} for f in self.drawn.faults]
+            value = {"deployment": deployment_text(d), "begin": self.begin,
+                     "ledger": self.path(f"rack{rack}.jsonl"), "ready": self.path(f"rack{rack}.ready"),
+                     "uplinks": {str(rack): rate(self.drawn.uplinks[rack])},
+                     "streamers": {s["name"]: {"id": s["id"], "rack": rack, "kind": self.day["fleet"]["kind"],
+                                               "link": rate(s["link"])} for s in mine},
+                     "script": [f for f in script if f["streamers"] or f["racks"]]}
+            with open(self.path(f"rack{rack}.rec"), "w", encoding="utf-8") as file:
+                file.write(written(value)[2:-1])
+            await self._spawn(f"rack{rack}", "terndrift", "streamer", self.path(f"rack{rack}.rec"))
+        for rack in racks:
+            await self._appears(f"rack{rack}", self.path(f"rack{rack}.ready"))
+            self.lines.update(records.load(self.path(f"rack{rack}.ready"), "list")["streamers"])
+        self._write_list()
+        for n in range(self.controllers):
+            await self._controller(n, "127.0.0.1:0")
+        for n in range(self.controllers):
+            await self._up(n)
+
+    def _write_list(self):
+        write_list(self.path("list.rec"), self.lines, self.started, self.standing)
+
+    async def _controller(self, n, listen):
+        value = {"deployment": deployment_text(self.day["deployment"]),
+                 "controller": {"name": f"c{n}", "rank": n, "of": self.controllers,
+                                "seed": self.seed * 100 + n},
+                 "http": {"listen": listen, "drain": ns(SECOND)}, "list": "list.rec",
+                 "list_poll": ns(LIST_POLL * SECOND), "cache": f"c{n}.cache", "ready": f"c{n}.ready",
+                 "log": {"level": "info", "form": "json"}}
+        with open(self.path(f"c{n}.rec"), "w", encoding="utf-8") as file:
+            file.write(written(value)[2:-1])
+        await self._spawn(f"c{n}", "terndrift", "serve", self.path(f"c{n}.rec"), "--policy", self.policy)
+
+    async def _up(self, n):
+        await self._appears(f"c{n}", self.path(f"c{n}.ready"))
+        with open(self.path(f"c{n}.ready"), encoding="utf-8") as file:
+            address = file.read().strip()
+        self.addresses[n:n + 1] = [address]
+        self.ledger.note("controller up", name=f"c{n}", address=address)
+        return address
+
+    async def _day(self):
+        value = {"ledger": self.path("viewers.jsonl"), "controllers": self.addresses, "begin": self.begin,
+                 "seed": self.seed, "tail": TAIL, "arrivals": self.drawn.arrivals}
+        with open(self.path("viewers.json"), "wb") as file:
+            file.write(msgspec.json.encode(value))
+        crowd = await self._spawn("viewers", "terndrift.rehearse.crowd", self.path("viewers.json"))
+        work = [asyncio.ensure_future(self._edits())]
+        work += [asyncio.ensure_future(self._kill(*kill)) for kill in self.drawn.kills]
+        await asyncio.wait_for(crowd.wait(), self.seconds + TAIL + 60)
+        await asyncio.gather(*work)
+
+    async def _until(self, at):
+        await asyncio.sleep(max(0.0, self.begin + at / SECOND - time.time()))
+
+    async def _edits(self):
+        for at, id, standing, started in self.drawn.edits:
+            await self._until(at)
+            self.standing[id] = standing
+            if started is not None:
+                self.started[id] = self.begin + started / SECOND
+            self._write_list()
+            self.ledger.note("listed", streamer=id, standing=standing)
+
+    async def _kill(self, at, n, lasts):
+        await self._until(at)
+        process, address = self.processes[f"c{n}"], self.addresses[n]
+        process.send_signal(signal.SIGKILL)
+        self.ledger.note("controller down", name=f"c{n}", address=address)
+        await process.wait()
+        await asyncio.sleep(lasts / SECOND)
+        os.unlink(self.path(f"c{n}.ready"))
+        await self._controller(n, address)
+        await self._up(n)
+
+    async def _stop(self):
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                await asyncio.wait_for(process.wait(), 15)
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+
+    def report(self):
+        notes = {"viewers": read(self.path("viewers.jsonl")), "runner": read(self.path("runner.jsonl")),
+                 "streamers": [n for rack in sorted(self.drawn.uplinks)
+                               for n in read(self.path(f"rack{rack}.jsonl"))]}
+        facts = judge.Facts(self.day["deployment"], notes, told_within=LIST_POLL + 0.2)
+        return {"seed": self.seed, "policy": self.policy, "controllers": self.controllers,
+                "streamers": len(self.drawn.streamers), "seconds": self.seconds,
+                **figures.report(facts, self.drawn.arrivals), **judge.report(facts)}
+
+
+def load(name):
+    """A day by its name among those that come along, or by its file."""
+    own = os.path.join(os.path.dirname(__file__), "days", f"{name}.rec")
+    day = records.load(own if os.path.exists(own) else name, "day")
+    deployment.check(day["deployment"])
+    return day
--- a/terndrift/standin/player.py
+++ b/terndrift/standin/player.py
@@ -104,7 +104,9 @@
             if got is None:
                 return seen, False
             now = time.monotonic()
-            dry = max(0.0, now - begun - ahead) if number else 0.0
+            if not number:
+                begun = now  # the picture begins once the first segment is there
+            dry = max(0.0, now - begun - ahead)
             begun += dry  # the picture stood so long
             stalled = dry
             br = cmsd.parse({cmsd.STATIC: got[1].get(cmsd.STATIC, "")}).static.get("br", 0)
--- a/terndrift/standin/streamer.py
+++ b/terndrift/standin/streamer.py
@@ -87,8 +87,8 @@
         link, uplink = self.use() if fresh else self.late_use[0][1:]
         figures = {LINK: round(min(link, 99.0), 3), UPLINK: round(min(uplink, 99.0), 3),
                    STREAMS: len(self.streams) + self.busy}
-        return {cmsd.STATIC: cmsd.static_header(static),
-                cmsd.DYNAMIC: cmsd.dynamic_header([(f"streamer-{self.id}", figures | more)])}
+        out = {cmsd.DYNAMIC: cmsd.dynamic_header([(f"streamer-{self.id}", figures | more)])}
+        return out | ({cmsd.STATIC: cmsd.static_header(static)} if static else {})
 
     # What it serves.
 
@@ -119,7 +119,8 @@
 
     async def set_up(self, exchange, pb, title, hints):
         now, number = time.monotonic_ns(), hints.custom.get(NUMBER, (None, 0))[1]
-        self.ledger.note("try", streamer=self.id, pb=pb, number=number, title=title, br=hints.get("br"))
+        self.ledger.note("try", streamer=self.id, pb=pb, number=number, title=title, br=hints.get("br"),
+                         sid=hints.get("sid"))
         exchange.on_gone = lambda: self.ledger.note("try gone", streamer=self.id, pb=pb, number=number)
 
         async def answer(code, ran, headers=(), body=b""):
