--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -107,7 +107,7 @@
         first = int(number(f, "start_cell", 0))
         return dict(
             id=text(f, "corr"), plan=plan, title=f.get("title", ""),
-            cells={(first + j) % inst.cells for j in range(int(number(f, "spread", 0)))}, top=top,
+            cells=frozenset((first + j) % inst.cells for j in range(int(number(f, "spread", 0)))), top=top,
             time_left=whole(f, "expires_in_ns"), hint=whole(f, "work_ns", 0) if marks & 1 else 0,
             moved=bool(marks & 8),
         )
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -43,6 +43,7 @@
         self.heard = None  # (time, what others asked of its uplink): the last report, if that says most
         self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
         self.raised = 0  # when own playbacks there last rose, or might have by chance
+        self.known = None, 0.0  # (time, what is asked at it), until something is heard or seated
 
     def limit(self, now):
         if not self.seen:
@@ -62,8 +63,13 @@
     def asked(self, now, at=None):
         if at is None and self.heard and now - self.heard[0] < 5 * SECOND:
             return self.heard[1] + self.own()
+        if at is None and self.known[0] == now:
+            return self.known[1]
         # what a link cannot carry does not reach the uplink: one that slows down reports many times its due
-        return sum(min(s.asked(now, at), s.limit()) for s in self.streamers)
+        asked = sum([min(s.asked(now, at), s.full) for s in self.streamers])
+        if at is None:
+            self.known = now, asked
+        return asked
 
 
 class Streamer:
@@ -81,11 +87,17 @@
         self.slot = None  # the last turn used while it is cold
         self.raised = 0  # when own playbacks there last rose
         self.streamers = (self,)  # behind its link, as a rack has those behind its uplink
+        self.scale = 0.0  # of own playbacks, together
+        self.relist(listed)
         rack.streamers.append(self)
 
+    def relist(self, listed):
+        self.listed, weight = listed, listed.weight
+        self.full = max(1.0, self.d.links.unit_kb * (weight if 0.01 < weight < 100 else 1.0))
+        self.rack.known = None, 0.0
+
     def limit(self, now=0):
-        weight = self.listed.weight
-        return max(1.0, self.d.links.unit_kb * (weight if 0.01 < weight < 100 else 1.0))
+        return self.full
 
     def own(self, at=None):
         return self.asks[-1][1] if at is None else next((kb for t, kb in reversed(self.asks) if t <= at), 0.0)
@@ -95,16 +107,17 @@
         Guards against a streamer shut out for good by the last thing that was heard of it."""
         if self.listed.standing is Standing.GONE or self.down is not None:
             return 0.0  # what is gone carries nothing of its rack's uplink
-        if not self.heard:
+        heard = self.heard
+        if not heard:
             return self.typical
-        old = min(1.0, (now - self.heard[-1][0]) / (15 * SECOND))
-        return (1 - old) * fmean(kb for _, kb in self.heard) + old * self.typical
+        old = min(1.0, (now - heard[-1][0]) / (15 * SECOND))
+        return (1 - old) * ((heard[0][1] + heard[-1][1]) / 2) + old * self.typical
 
     def asked(self, now, at=None):
-        return self.others(now) + self.own(at)
+        return self.others(now) + (self.asks[-1][1] if at is None else self.own(at))
 
     def use(self, now):
-        return self.asked(now) / self.limit()
+        return self.asked(now) / self.full
 
     def stuck(self, now):
         """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
@@ -142,6 +155,12 @@
         self.began_empty = True  # no playback was handed over: a restart with an old list
         self.streamers, self.racks, self.playbacks = {}, {}, {}
         self.open, self.stale = {}, {}  # playbacks held or trying, in order; racks with news
+        self.seeded = zlib.crc32(b"%d:" % deployment.seed)
+        self.cells = {}  # cell -> its streamers, with their place in the list
+        rates = deployment.ladder.rates
+        self.rates = {name: [kb * plan.scale for kb in rates] for name, plan in deployment.plans.items()}
+        self.steps = {name: self._steps(plan) for name, plan in deployment.plans.items()}
+        self.jam = None, {}  # (when, {what was asked for: draws}) of playbacks that found no place just now
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
         self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
@@ -154,7 +173,7 @@
         for s in self.streamers.values():
             s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
             if whole and s.listed.id not in listed:
-                s.listed = replace(s.listed, standing=Standing.GONE)
+                s.relist(replace(s.listed, standing=Standing.GONE))
         for e in entries:
             s, links = self.streamers.get(e.id), self.d.links
             if s is None:
@@ -163,7 +182,10 @@
             if e.started != s.listed.started:
                 s.down, s.slot = None, None
                 s.heard.clear()
-            s.listed = e
+            s.relist(e)
+        self.cells.clear()
+        for n, s in enumerate(self.streamers.values()):
+            self.cells.setdefault(s.listed.cell, []).append((n, s))
         return self.wake(now)
 
     def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved):
@@ -241,9 +263,9 @@
     probe_answer = peer_message = lambda self, now, *_: []  # none are asked for, so none are expected
 
     def _take(self, now, id, plan, title, cells, top, time_left, hint):
-        luck, due = self._chance(), now + time_left
+        luck, due, top = self._chance(), now + time_left, min(top, len(self.d.ladder.rates) - 1)
         pb = self.playbacks[id] = Playback(id, self.d.plans[plan], title, top, due, luck)
-        pb.cells = cells
+        pb.cells, pb.rates, pb.steps = cells, self.rates[plan], self.steps[plan]
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
         return pb
@@ -297,13 +319,23 @@
     def _place(self, now, pb):
         """The least-loaded holder off the trail, at the companion's rung; False: hold."""
         plan, rules = pb.plan, self.d.rules
-        holders = [s for s in self.streamers.values() if s.listed.cell in pb.cells and s not in pb.trail]
-        fresh = [s for s in holders if s.listed.standing is Standing.READY]
-        if not fresh or pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
-            self._reject(now, pb)  # every holder is on the trail, or no try is left
+        if pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
+            self._reject(now, pb)
             return True
-        if plan.seats and self.seated(plan, pb.title) >= plan.seats:
+        # of equal ones that were never tried only the first is looked at in one moment: guards the loop
+        # against a long queue with no room, whatever fills it
+        alike = None if pb.trail else (plan.name, pb.title if plan.seats else None, pb.cells)
+        if alike and self.jam[0] == now and (drawn := self.jam[1].get(alike)) is not None:
+            self.draws += drawn
             return False
+        before = self.draws
+        holders = sorted([x for cell in pb.cells for x in self.cells.get(cell, ())])
+        fresh = [s for _, s in holders if s.listed.standing is Standing.READY and s not in pb.trail]
+        if not fresh:
+            self._reject(now, pb)  # every holder is on the trail
+            return True
+        if plan.seats and self.seated(plan, pb.title) >= plan.seats:
+            return self._jammed(now, alike, before)
         if pb.tries and not self._extra_left(now):
             return False
         able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s, len(fresh))]
@@ -319,6 +351,13 @@
             lines = [s, s.rack] if s.rack.settled(now) < 5 * SECOND else [s]
             if all(at.asked(now) + self._rate(plan, plan.floor) <= at.limit(now) for at in lines):
                 return self._send(now, pb, s, plan.floor)
+        return self._jammed(now, alike, before)
+
+    def _jammed(self, now, alike, before):
+        if alike:
+            if self.jam[0] != now:
+                self.jam = now, {}
+            self.jam[1][alike] = self.draws - before
         return False
 
     def _order(self, now, able):
@@ -331,6 +370,7 @@
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
 
     def _send(self, now, pb, s, rung):
+        self.jam = None, {}
         pb.tries += 1
         if pb.tries > 1:
             self.extra.append(now)
@@ -364,13 +404,14 @@
         s.gap = min(8 * SECOND, max(SECOND, 2 * s.gap))
         s.next_try = now + s.gap
         if ending is not Ending.ERRED and s.down is None:
-            s.down, s.slot = now, None
+            s.down, s.slot, s.rack.known = now, None, (None, 0.0)
 
     def _well(self, now, s):
         s.gap = s.gap // 2 if s.gap > SECOND // 4 else 0
         s.next_try = now + s.gap
         if s.down is not None:  # back before the list said so: its warm-up counts from now
-            s.down, s.slot, s.listed = None, None, replace(s.listed, started=now)
+            s.down, s.slot = None, None
+            s.relist(replace(s.listed, started=now))
 
     def _places(self, s):
         return self.d.links.places.get(s.listed.kind) or min(self.d.links.places.values(), default=8)
@@ -380,11 +421,11 @@
         rules = self.d.rules
         # guards a restart with an old list: any streamer may be new
         start = max(s.listed.started, self.born) if self.began_empty else s.listed.started
+        if s.down is None and (not start or now - start >= rules.cold_for):
+            return None
         places, share = self._places(s), rules.cold_share
         if s.down is not None:
             return places * share * (now - s.down) / rules.cold_for
-        if not start or now - start >= rules.cold_for:
-            return None
         x = max(0, now - start) / rules.cold_for
         # the integral of the pace; warmth is taken to rise late, as the ramp is not told
         return places * (share * x + (1 - share) * x**3 / 3)
@@ -408,6 +449,7 @@
 
     def _hear(self, now, s, link, uplink, fresh):
         """A report: what others ask is what was asked then, less what own playbacks asked then."""
+        s.rack.known = None, 0.0
         at = now if fresh else now - self.d.links.lag
         if link is not None and 0 <= link < 100:
             s.heard.append((now, max(0.0, link * s.limit() - s.own(at))))
@@ -422,24 +464,26 @@
     def _chance(self):
         self.draws += 1
         # spread by a product: crc32 alone is linear, two seeds would order all their draws alike
-        return zlib.crc32(f"{self.d.seed}:{self.draws}".encode()) * 2654435761 % 2**32 / 2**32
+        return zlib.crc32(b"%d" % self.draws, self.seeded) * 2654435761 % 2**32 / 2**32
 
     def _rate(self, plan, rung):
-        return self.d.ladder.rates[rung] * plan.scale
+        return self.rates[plan.name][rung]
 
     def _note_own(self, now, s):
-        s.asks.append((now, sum(self._rate(pb.plan, pb.rung) for pb in s.playbacks)))
+        s.rack.known, self.jam = (None, 0.0), (None, {})
+        s.asks.append((now, sum([pb.rates[pb.rung] for pb in s.playbacks])))
+        s.scale = sum([pb.plan.scale for pb in s.playbacks])
 
     def _average(self):
         ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
         told = [min(kb, s.limit()) for s in ready for _, kb in s.heard]
         told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # until then: as this
-        scale, rates = sum(pb.plan.scale for s in ready for pb in s.playbacks), self.d.ladder.rates
+        scale, rates = sum(s.scale for s in ready), self.d.ladder.rates
         usual = sum(s.own() for s in ready) / scale if scale else rates[len(rates) // 2]  # unknown: middle
         self.usual_kb = max(usual, rates[0])
         typical = fmean(told or [0.0])
         for s in ready:
-            s.typical = typical
+            s.typical, s.rack.known = typical, (None, 0.0)
 
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
@@ -462,7 +506,7 @@
     def _budget(self, now, at, extra):
         """What own playbacks may ask: their part of the mark by number. How many others there are is
         told by what they ask, at the usual rate. Guards against first comers that take all free room."""
-        mine = sum(pb.plan.scale for s in at.streamers for pb in s.playbacks) + extra
+        mine = sum([s.scale for s in at.streamers]) + extra
         others = max(0.0, at.asked(now) - at.own()) / self.usual_kb
         return self.MARK * at.limit(now) * mine / max(mine + others, 1e-9)
 
@@ -473,35 +517,45 @@
         all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
         rungs, steps, drawn = {}, [], set()
         for n, (p, at) in enumerate(all_of):
-            rungs[p] = p.plan.floor
-            room[at] -= self._rate(p.plan, p.plan.floor)
-            room[rack] -= self._rate(p.plan, p.plan.floor)
-            self._next_step(steps, n, p, p.plan.floor)
-        while steps:
-            _, n, rung, kb = heapq.heappop(steps)
+            rung = rungs[p] = p.plan.floor
+            kb = p.rates[rung]
+            room[at] -= kb
+            room[rack] -= kb
+            if rung < p.top:
+                steps.append((p.steps[rung][0], n, rung + 1))
+        heapq.heapify(steps)
+        while steps and room[rack] > 0:
+            _, n, rung = steps[0]
             p, at = all_of[n]
-            tight = min(at, rack, key=room.get)
+            kb = p.steps[rung - 1][1]
+            tight = at if room[at] <= room[rack] else rack
             # the first step that does not fit is taken by chance, so that all controllers together fill it
             if kb <= room[tight] or tight not in drawn and p.luck * kb < room[tight]:
                 room[at] -= kb
                 room[rack] -= kb
                 rungs[p] = rung
-                self._next_step(steps, n, p, rung)
+                if rung < p.top:
+                    heapq.heapreplace(steps, (p.steps[rung][0], n, rung + 1))
+                    continue
             else:
                 drawn.add(tight)
+            heapq.heappop(steps)
+            if p is pb:
+                break  # its rung is settled, and only it is asked for
         return rungs
 
-    def _next_step(self, steps, n, p, rung):
-        if rung < min(p.top, len(self.d.ladder.rates) - 1):
-            earns = self.d.ladder.revenue
-            kb = self._rate(p.plan, rung + 1) - self._rate(p.plan, rung)
-            gain = p.plan.revenue * (earns[rung + 1] - earns[rung])
-            heapq.heappush(steps, (-gain / max(kb, 1e-9), n, rung + 1, kb))
+    def _steps(self, plan):
+        """(order, kB) of the step up from each rung: what earns most for a kB goes first."""
+        rates, earns, out = self.rates[plan.name], self.d.ladder.revenue, []
+        for low, (kb, more) in enumerate(zip(rates, rates[1:], strict=False)):
+            gain = plan.revenue * (earns[low + 1] - earns[low])
+            out.append((-gain / max(more - kb, 1e-9), more - kb))
+        return out
 
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
-        free = min(self.MARK * at.limit(now) - at.asked(now) for at in (s, s.rack))
-        if self._rate(pb.plan, pb.plan.floor) > free:
+        free = min(self.MARK * s.full - s.asked(now), self.MARK * s.rack.limit(now) - s.rack.asked(now))
+        if pb.rates[pb.plan.floor] > free:
             return None
         top = self._fair(now, s.rack, pb, s)[pb]
         return next(r for r in range(top, -1, -1) if self._rate(pb.plan, r) <= free)
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -16,6 +16,7 @@
     list_changed(now, entries, whole, old)     the server list: all of it or changes; old: a cached copy
     wanted(now, id, plan, title, cells, top, time_left, hint, moved)    a viewer asks; the
                                                title's holders are the streamers of these cells
+                                               (a frozenset)
     handed_over(now, id, ..., streamer)        as `wanted`, but it plays already at that streamer
     playing(now, id, took)                     the set-up that is out came to play
     try_ended(now, id, ending, took, finished, streamer, report)   a set-up, or what played, is over
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -182,7 +182,7 @@
 def test_a_handed_over_playback_keeps_its_rung_until_there_is_room_to_rise():
     front = Front(streamers=1)
     front.model.taken(front.now, "old", "free", "t", front.now + 900 * S)
-    front.c.handed_over(front.now, "old", "free", "t", {0, 1, 2, 3}, 3, 900 * S, 0, False, 0)
+    front.c.handed_over(front.now, "old", "free", "t", frozenset(range(4)), 3, 900 * S, 0, False, 0)
     front.c.told_rung(front.now, "old", 1)
     pb = front.c.playbacks["old"]
     assert pb.rung == 1 and front.c.seated(pb.plan, "t") == 1
