--- a/terndrift/records/values.py
+++ b/terndrift/records/values.py
@@ -154,11 +154,16 @@
         return b
     if isinstance(b, Scalar) and b.kinds is None and not b.bounds:
         return a
-    found, wanted = (a, b) if _concrete(a) else (b, a)
+    # what is wrong is what a person wrote, not the schema; of two that they wrote, what is concrete
+    found, wanted = (a, b) if (_written(a), _concrete(a)) > (_written(b), _concrete(b)) else (b, a)
     reading.fault(found.place, path, found, wanted)
     return a
 
 
+def _written(value):
+    return not value.place.file.startswith("<schema>")
+
+
 def _concrete(value):
     return isinstance(value, Atom) or isinstance(value, Struct) and not value.closed
 
