--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,177 @@
+"""The auditor is proven: a service with each rule broken on purpose is reported for it, and for it alone."""
+
+import asyncio
+import time
+
+from world import in_world
+
+from terndrift.core.carried import Answer, Kind
+from terndrift.hints import cmcd
+from terndrift.http.seats import Seats
+
+
+def broken(world):
+    report = world.breaks()
+    return {name for name, count in report["rules"].items() if count}
+
+
+async def asks(world, title, count):
+    players = [world.player(title, f"{title}{n}", seconds=0.5, pause=lambda: 9.0) for n in range(count)]
+    return await asyncio.gather(*(p.ask() for p in players))
+
+
+def late(service):
+    async def turn_away(exchange, come_back):
+        await asyncio.sleep(2.0)
+        await exchange.reply(503)
+
+    service.front._turn_away = turn_away
+
+
+@in_world(carrier=late)
+async def test_a_late_answer_breaks_the_first_rule(world):
+    for s in world.fleet.streamers.values():
+        s.begin("full", 1)
+    await asks(world, "clip", 2)
+    assert broken(world) == {"answers"}
+
+
+def silent(service):
+    async def handle(exchange):
+        exchange.stream.close()
+
+    service.server.handle = handle
+
+
+@in_world(carrier=silent)
+async def test_no_answer_breaks_the_first_rule(world):
+    await asks(world, "clip", 2)
+    assert broken(world) == {"answers"}
+
+
+def resending(service):
+    carrier, over = service.carrier, service.carrier._over
+
+    def again(carried, ending, figures=None):
+        if ending.may_have_run and carried.tries < 2:
+            carried.tries += 1
+            carrier.tries.pop(carried)
+            carrier.set_up(carried, carried.streamer, carried.rung, 0)
+        else:
+            over(carried, ending, figures)
+
+    carrier._over = again
+
+
+@in_world(carrier=resending, streamers=2)
+async def test_a_paid_plan_sent_again_breaks_the_second_rule(world):
+    for s in world.fleet.streamers.values():
+        s.begin("error", 1.0)
+    await asks(world, "lesson", 2)
+    assert broken(world) == {"set_ups"}
+
+
+def hedging(service):
+    carrier, set_up = service.carrier, service.carrier.set_up
+
+    def twice(carried, streamer, rung, time_out):
+        set_up(carried, streamer, rung, time_out)
+        first = carrier.tries[carried]
+        carried.tries += 1
+        set_up(carried, streamer, rung, time_out)
+        carrier.tries[carried] = first
+
+    carrier.set_up = twice
+
+
+@in_world(carrier=hedging)
+async def test_two_tries_at_once_break_the_second_rule(world):
+    for s in world.fleet.streamers.values():
+        s.begin("late", 0.3)
+    await asks(world, "clip", 2)
+    assert "set_ups" in broken(world)
+
+
+def rejecting(service):
+    front, want = service.front, service.front._want
+
+    def softened(now, wanted, visit):
+        awaited = want(now, wanted, visit)
+        answered = awaited.carried.answered
+
+        def instead(answer):
+            answered(Answer(Kind.REJECTED) if answer.kind is Kind.ABORTED else answer)
+
+        awaited.carried.answered = instead
+        return awaited
+
+    front._want = softened
+
+
+@in_world(carrier=rejecting, streamers=1)
+async def test_a_paid_plan_rejected_though_it_may_have_run_breaks_the_second_rule(world):
+    world.fleet.streamers[0].begin("still", 1)
+    await asks(world, "lesson", 1)
+    assert broken(world) == {"set_ups"}
+
+
+@in_world
+async def test_new_work_to_what_drains_breaks_the_third_rule(world):
+    world.service.list.changed = lambda *_: None
+    world.write_list(s0="draining", s1="gone")
+    await world.listed()
+    await asyncio.sleep(0.8)
+    await asks(world, "clip", 9)
+    assert broken(world) == {"drains"}
+
+
+@in_world
+async def test_a_cold_streamer_pushed_over_breaks_the_fourth_rule(world):
+    world.service.core.controller._cold_turn = lambda *_: True
+    one = world.fleet.streamers[1]
+    one.die()
+    one.start(cold=True)
+    world.started[1] = time.time()
+    world.write_list()
+    await world.listed()
+    await asks(world, "first", 40)
+    assert "cold" in broken(world) and one.fallen
+
+
+def floorless(service):
+    class Low(Seats):
+        @staticmethod
+        def rung(seat, floor, asked):
+            return 0
+
+    service.front.seats = Low(service.front.seats.idle, service.front.seats.room)
+
+
+@in_world(carrier=floorless)
+async def test_a_rung_under_the_floor_breaks_the_fifth_rule(world):
+    await world.player("lesson", "v").watch()
+    assert broken(world) == {"terms"}
+
+
+@in_world
+async def test_more_playbacks_than_seats_break_the_fifth_rule(world):
+    world.service.core.controller.seated = lambda *_: 0
+    await asyncio.gather(*(world.player("seat", f"v{n}", seconds=1.0).watch() for n in range(4)))
+    assert broken(world) == {"terms"}
+
+
+@in_world(streamers=6)
+async def test_tries_over_the_budget_break_the_sixth_rule(world):
+    world.service.core.controller._extra_left = lambda *_: True
+    for s in world.fleet.streamers.values():
+        s.begin("full", 1)
+    await asks(world, "clip", 25)
+    assert broken(world) == {"budget"}
+
+
+@in_world
+async def test_a_sound_service_breaks_none(world):
+    world.fleet.streamers[0].begin("error", 0.5)
+    await asyncio.gather(asks(world, "clip", 10), asks(world, "lesson", 5), asks(world, "seat", 3))
+    code, *_ = await world.ask("clip", {cmcd.SESSION: 'sid="x"'})
+    assert code == 200 and broken(world) == set()
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,113 @@
+"""The command line as a person uses it: in processes of its own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+from click.testing import CliRunner
+from world import DEPLOYMENT
+
+from terndrift.cli.main import cli
+
+FLEET = DEPLOYMENT + 'streamers: "a": {id: 1, rack: 0, kind: "box", link: 2MB/s}\nuplinks: {}\n'
+
+
+def run(*args, text=None):
+    return CliRunner().invoke(cli, args, input=text, prog_name="terndrift")
+
+
+def start(*args):
+    return subprocess.Popen([sys.executable, "-m", "terndrift", *args], stdout=subprocess.PIPE,
+                            stderr=subprocess.PIPE, text=True)
+
+
+def test_every_command_has_help_and_bad_use_exits_2_with_a_line():
+    for name in ("check", "serve", "streamer", "play", "demo", "rehearse", "hints"):
+        assert run(name, "--help").exit_code == 0
+    for args in (["check"], ["nothing"], ["play", "ftp://x"], ["rehearse", "bad-day", "--seconds", "x"],
+                 ["serve", "f", "--policy", "none"]):
+        out = run(*args)
+        assert out.exit_code == 2 and out.stderr.strip()
+
+
+def test_check_names_what_and_where(tmp_path):
+    good = tmp_path / "fleet.rec"
+    good.write_text(FLEET)
+    assert "nothing amiss" in run("check", str(good)).stdout
+    bad = tmp_path / "bad.rec"
+    bad.write_text(FLEET.replace("rack: 0", "rack: -1"))
+    out = run("check", str(bad))
+    assert out.exit_code == 2 and f"{bad}:{len(DEPLOYMENT.splitlines()) + 1}:" in out.stderr
+    bad.write_text(FLEET.replace('plan: "paid"', 'plan: "none"'))
+    out = run("check", str(bad))
+    assert out.exit_code == 2 and "no plan 'none'" in out.stderr
+    assert run("check", str(tmp_path / "missing.rec")).exit_code == 2
+    assert run("check", "bad-day", "--kind", "day").exit_code == 2
+
+
+def test_hints_parse_prints_json():
+    text = 'CMCD-Session: sid="a",x=1\nCMSD-Dynamic: "s";mb=400\n'
+    out = json.loads(run("hints", "parse", text=text).stdout)
+    assert out["request"] == {"sid": "a"} and out["dynamic"] == [{"server": "s", "mb": 400}]
+    assert out["ignored"][0]["key"] == "x"
+    query = json.loads(run("hints", "parse", text="GET /a?b=1&CMCD=bs%2Cbl%3D200 HTTP/1.1").stdout)
+    assert query["request"] == {"bs": True, "bl": 200}
+    assert json.loads(run("hints", "parse", text="").stdout)["request"] == {}
+
+
+def test_serve_listens_plays_and_drains_at_sigterm(tmp_path):
+    (tmp_path / "fleet.rec").write_text(FLEET + f'ready: "{tmp_path}/list.rec"\n')
+    streamer = start("streamer", str(tmp_path / "fleet.rec"))
+    assert streamer.stdout.readline().startswith("a 127.0.0.1:")
+    (tmp_path / "front.rec").write_text(
+        DEPLOYMENT + 'controller: name: "c0"\nlist: "list.rec"\nlog: form: "json"\nhttp: drain: 200ms\n')
+    assert "nothing amiss" in run("check", str(tmp_path / "front.rec")).stdout
+    serve = start("serve", str(tmp_path / "front.rec"))
+    line = json.loads(next(x for x in iter(serve.stderr.readline, "") if "listening" in x))
+    out = run("play", f"http://{line['address']}/v/clip/main.m3u8")
+    assert out.exit_code == 0 and json.loads(out.stdout.splitlines()[-1])["seen"] > 1.9
+    assert run("play", f"http://{line['address']}/v/none/main.m3u8", "--seconds", "0.1").exit_code == 1
+    serve.send_signal(signal.SIGTERM)
+    assert serve.wait(20) == 0 and '"kind": "plays"' in serve.stderr.read()
+    streamer.send_signal(signal.SIGTERM)
+    assert streamer.wait(20) == 0
+    for process in (serve, streamer):
+        process.stdout.close()
+        process.stderr.close()
+
+
+def test_a_second_sigterm_ends_it_at_once(tmp_path):
+    (tmp_path / "list.rec").write_text('streamers: a: {id: 1, address: "127.0.0.1:1", rack: 0, kind: "box"}')
+    (tmp_path / "front.rec").write_text(
+        DEPLOYMENT + 'controller: name: "c0"\nlist: "list.rec"\nlog: form: "json"\nhttp: drain: 60s\n')
+    serve = start("serve", str(tmp_path / "front.rec"))
+    line = json.loads(next(x for x in iter(serve.stderr.readline, "") if "listening" in x))
+    player = start("play", f"http://{line['address']}/v/lesson/main.m3u8", "--seconds", "9")
+    serve.send_signal(signal.SIGTERM)
+    next(x for x in iter(serve.stderr.readline, "") if "draining" in x)
+    serve.send_signal(signal.SIGTERM)
+    assert serve.wait(20) == 0
+    player.kill()
+    player.wait()
+    for process in (serve, player):
+        process.stdout.close()
+        process.stderr.close()
+
+
+def test_the_demo_plays_its_title():
+    out = subprocess.run([sys.executable, "-m", "terndrift", "demo", "--try"], capture_output=True, text=True,
+                         timeout=60)
+    assert out.returncode == 0 and "a player saw 10 s" in out.stdout
+
+
+def test_a_short_rehearsal_keeps_all_rules(tmp_path):
+    report = tmp_path / "out.json"
+    args = "rehearse bad-day --seconds 8 --seed 5 --controllers 2 --streamers 6 --report"
+    out = subprocess.run([sys.executable, "-m", "terndrift", *args.split(), str(report)],
+                         capture_output=True, text=True, timeout=120, env=os.environ)
+    found = json.loads(report.read_text())
+    assert out.returncode == 0, found["breaks"] or out.stderr
+    assert set(found["rules"].values()) == {0} and found["answers"]["plays"] > 0
+    assert {"playbacks", "revenue_answered_in_target", "added_latency_us"} <= set(found)
