--- a/terndrift/http/client.py
+++ b/terndrift/http/client.py
@@ -102,6 +102,7 @@
         connection = HTTP1Connection(self.stream, True, PARAMS)
         self.sent = True
         try:
+            self.stream.set_nodelay(True)  # see Exchange.start
             connection.write_headers(
                 httputil.RequestStartLine(method, target, "HTTP/1.1"),
                 httputil.HTTPHeaders({"Host": self.address, **headers}))
--- a/terndrift/http/front.py
+++ b/terndrift/http/front.py
@@ -25,6 +25,9 @@
 from terndrift.interface import Ending
 
 SECOND = 1_000_000_000
+# Pieces under this wait GATHER s for the next to come with them. Guards the loop against streamers, or links,
+# that hand over a few bytes at a time; a segment comes that much later at most, once for each such piece.
+SMALL, GATHER = 2048, 0.01
 MANIFEST_STATIC = cmsd.static_header({"ot": "m", "sf": "h", "st": "v"})
 
 
@@ -241,6 +244,7 @@
         self.began, self.blocked, self.blocked_since = front.now(), 0, 0
         self.head_out, self.code = False, 0
         self.call, self.stood_still = None, False
+        self.passed, self.length = 0, None
 
     def waited(self, now):
         """ns spent waiting for the streamer so far: what the player took is not its fault."""
@@ -294,7 +298,8 @@
         if said.static or said.custom:
             out[cmsd.STATIC] = cmsd.static_header(said.static, said.custom)
         length = headers.get("Content-Length")
-        self.exchange.start(200, out, int(length) if length and length.isdigit() else None)
+        self.length = int(length) if length and length.isdigit() else None
+        self.exchange.start(200, out, self.length)
         self.head_out = True
         return None
 
@@ -304,6 +309,10 @@
         self.blocked_since = self.front.now()
         try:
             await self.exchange.took(self.exchange.connection.write(chunk))
+            self.passed += len(chunk)
+            if len(chunk) < SMALL and self.passed < (self.length or 0):
+                # more comes, a little at a time: each piece costs the loop as much as a large one would
+                await asyncio.sleep(GATHER)
         except Gone:  # not to be raised through the connection that the streamer's answer comes by
             self.call.close()
         self.blocked += self.front.now() - self.blocked_since
--- a/terndrift/http/seats.py
+++ b/terndrift/http/seats.py
@@ -33,7 +33,7 @@
         return seat
 
     def full(self):
-        return sum(1 for _ in self.seats) >= self.room
+        return len(self.seats) >= self.room
 
     def heard(self, now, seat, hints):
         seat.heard = now
--- a/terndrift/http/server.py
+++ b/terndrift/http/server.py
@@ -90,7 +90,7 @@
         finally:
             self.server.exchanges.discard(self)
 
-    def start(self, code, headers, length=None):
+    def start(self, code, headers, length=None, body=None):
         """Sends the head of the answer; `length` None: sent in chunks. Awaitable: until it is taken."""
         if self.gone:
             raise Gone
@@ -101,8 +101,11 @@
         if self.server.closing:
             out["Connection"] = "close"
             self.connection._disconnect_on_finish = True
+        # Tornado turns Nagle's algorithm on again after each answer; with a head and a body written apart,
+        # the body would wait 40 ms for the client's delayed acknowledgement of the head
+        self.stream.set_nodelay(True)
         return self.connection.write_headers(
-            httputil.ResponseStartLine("HTTP/1.1", code, REASONS.get(code, "Unknown")), out)
+            httputil.ResponseStartLine("HTTP/1.1", code, REASONS.get(code, "Unknown")), out, body)
 
     async def reply(self, code, headers=(), body=b"", text=None, data=None):
         """The whole answer: `body` bytes, or `text`, or `data` as JSON."""
@@ -114,9 +117,7 @@
             body = (text + "\n").encode()
             headers.setdefault("Content-Type", "text/plain; charset=utf-8")
         length = None if code == 204 else len(body)
-        head = self.start(code, headers, length)
-        if body and self.method != "HEAD":
-            head = self.connection.write(body)
+        head = self.start(code, headers, length, body if self.method != "HEAD" else None)
         self.connection.finish()
         await self.took(head)
 
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -1,6 +1,7 @@
 """A controller as a process: its records, its list, its core and its fronts, and how it stops."""
 
 import asyncio
+import gc
 import os
 import signal
 from types import SimpleNamespace
@@ -17,6 +18,9 @@
 from terndrift.listing.roll import Roll
 
 SECOND = 1_000_000_000
+# Objects made between collections, and collections of the young before one of all. Python's own 700, 10, 10
+# stop the loop for tens of ms at a thousand playbacks; garbage in circles is little here (tasks, exceptions).
+COLLECT = (20_000, 20, 50)
 
 
 def read(path):
@@ -120,6 +124,10 @@
     async def run(self):
         """Until SIGTERM or SIGINT: the first drains, a second one ends the process at once."""
         self.start()
+        # what stands now stands for good: the collector need not go through it again and hold the loop up
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECT)
         loop, told = asyncio.get_running_loop(), []
 
         def stop():
--- a/terndrift/standin/links.py
+++ b/terndrift/standin/links.py
@@ -4,6 +4,8 @@
 
 # Between grants: short against a segment, long against the cost of a turn of the loop.
 TICK = 0.02
+# Sent in one piece at least, but for the end: a network does not hand out bytes one by one.
+PIECE = 4096
 
 
 class Link:
@@ -17,7 +19,7 @@
 class Transfer:
     def __init__(self, link, uplink, pace):
         self.link, self.uplink, self.pace = link, uplink, pace
-        self.granted, self.ready = 0.0, asyncio.Event()
+        self.granted, self.left, self.ready = 0.0, 0, asyncio.Event()
 
 
 class Shaper:
@@ -44,10 +46,10 @@
             by_uplink[t.uplink] = by_uplink.get(t.uplink, 0.0) + part[t]
         for t in self.transfers:
             # what is not taken in time is not saved up
-            most = t.pace * 4 * TICK
+            most = max(t.pace * 4 * TICK, PIECE)
             part_now = part[t] * min(1.0, t.uplink.given() / by_uplink[t.uplink]) * seconds
             t.granted = min(t.granted + part_now, max(most, part_now))
-            if t.granted >= 1:
+            if t.granted >= min(PIECE, t.left):
                 t.ready.set()
 
     async def send(self, link, uplink, pace, size, write):
@@ -56,6 +58,7 @@
         self.transfers.add(transfer)
         try:
             while size > 0:
+                transfer.left = size
                 await transfer.ready.wait()
                 transfer.ready.clear()
                 part = min(size, int(transfer.granted))
