Catalogue in service: versions, a crash-safe store, a scheduler, admin over HTTP

Need: titles change while the service runs. A change is staged against a version, made durable by group commit, then visible whole; the decisions hear of new holders of what is held, and the core asks just before a try goes out whether its streamer still holds the title. A title may have a ladder of its own.

--- a/terndrift/core/carried.py
+++ b/terndrift/core/carried.py
@@ -47,6 +47,7 @@
     top: int
     time_left: int  # ns until the client gives up
     length: int  # ns that it will be watched, a guess; 0: not known
+    rates: tuple | None = None  # kB a second by rung, of a title with a ladder of its own
     about: object = None  # the front's own, handed back with it: not looked at here
 
 
--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -30,6 +30,8 @@
         self.controller = decisions(deployment, now)
         self.watch = watch or (lambda *_, **__: None)
         self.drain_grace = drain_grace
+        # whether a streamer (a Listed) still holds what is wanted: asked just before a try goes out
+        self.permits = lambda wanted, streamer: True
         self.held = {}  # id -> Carried
         self.open = 0  # taken and not yet answered
         self.ids = itertools.count(1)
@@ -51,7 +53,7 @@
         self.watch("wanted", carried)
         self._call(now, carried, lambda: self.controller.wanted(
             now, carried.id, wanted.plan, wanted.title, wanted.cells, wanted.top,
-            wanted.time_left - ANSWER_MARGIN, wanted.length, False))
+            wanted.time_left - ANSWER_MARGIN, wanted.length, False, wanted.rates))
         return carried
 
     def hand_over(self, now, wanted, carrier, streamer, rung):
@@ -80,8 +82,10 @@
     def may_send(self, now, carried):
         """Whether the try may still go out: asked by carriers when the connection is up, just before the
         first byte. Guards rule 3 against a streamer told off between the choice and the connect."""
-        told = self.told_off.get(carried.streamer.id) if carried.streamer else None
-        return carried.stage is Stage.TRYING and (told is None or now <= told + self.drain_grace)
+        if carried.stage is not Stage.TRYING or not self.permits(carried.wanted, carried.streamer):
+            return False
+        told = self.told_off.get(carried.streamer.id)
+        return told is None or now <= told + self.drain_grace
 
     def began(self, now, carried, report):
         """The set-up that is out came to play."""
@@ -153,6 +157,16 @@
                 self.told_off.pop(e.id, None)
         self._call(now, None, lambda: self.controller.list_changed(now, entries, whole, old))
 
+    def holders_changed(self, now, titles):
+        """`titles`: name -> cells that hold it from now on (none: it is gone). What plays goes on, the answer
+        of a try that is out stands, what is held looks among the new holders, and is answered at once if
+        there are none left to wait for."""
+        for carried in [c for c in self.held.values() if c.wanted.title in titles]:
+            if carried.stage in (Stage.WAITING, Stage.TRYING, Stage.CALLING_OFF):
+                cells = titles[carried.wanted.title]
+                self._call(now, carried, lambda c=carried, to=cells: self.controller.holders_changed(
+                    now, c.id, to))
+
     def next_at(self):
         """When `tick` is next wanted; None: not before something happens."""
         times = (self.controller.wake_at, self.alarms[0][0] if self.alarms else None)
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -159,7 +159,7 @@
         self.cells = {}  # cell -> its streamers, with their place in the list
         rates = deployment.ladder.rates
         self.rates = {name: [kb * plan.scale for kb in rates] for name, plan in deployment.plans.items()}
-        self.steps = {name: self._steps(plan) for name, plan in deployment.plans.items()}
+        self.steps = {name: self._steps(plan, self.rates[name]) for name, plan in deployment.plans.items()}
         self.jam = None, {}  # (when, {what was asked for: draws}) of playbacks that found no place just now
         self.taken, self.extra = deque(), deque()  # times of playbacks taken, of tries beyond the first
         self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
@@ -188,8 +188,8 @@
             self.cells.setdefault(s.listed.cell, []).append((n, s))
         return self.wake(now)
 
-    def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved):
-        pb = self._take(now, id, plan, title, cells, top, time_left, hint)
+    def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved, rates=None):
+        pb = self._take(now, id, plan, title, cells, top, time_left, hint, rates)
         self.taken.append(now)
         self.recent.append(now)
         pb.hold_until = min(now + 2 * SECOND, pb.due)  # DESIGN's brief hold
@@ -238,6 +238,11 @@
             self._turn(now, pb, State.ABORTED if pb.spoilt() else State.HELD)
         return self.wake(now, pb)
 
+    def holders_changed(self, now, id, cells):
+        if (pb := self.playbacks.get(id)) and pb.state in (State.HELD, State.TRYING):
+            pb.cells = cells
+        return self.wake(now, pb)
+
     def told_rung(self, now, id, rung):
         if (pb := self.playbacks.get(id)) and pb.streamer and 0 <= rung < len(self.d.ladder.rates):
             pb.rung = int(rung)
@@ -262,10 +267,13 @@
 
     probe_answer = peer_message = lambda self, now, *_: []  # none are asked for, so none are expected
 
-    def _take(self, now, id, plan, title, cells, top, time_left, hint):
+    def _take(self, now, id, plan, title, cells, top, time_left, hint, rates=None):
         luck, due, top = self._chance(), now + time_left, min(top, len(self.d.ladder.rates) - 1)
         pb = self.playbacks[id] = Playback(id, self.d.plans[plan], title, top, due, luck)
         pb.cells, pb.rates, pb.steps = cells, self.rates[plan], self.steps[plan]
+        if rates:  # a title with a ladder of its own
+            pb.rates = [kb * pb.plan.scale for kb in rates]
+            pb.steps = self._steps(pb.plan, pb.rates)
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
         return pb
@@ -324,7 +332,7 @@
             return True
         # of equal ones that were never tried only the first is looked at in one moment: guards the loop
         # against a long queue with no room, whatever fills it
-        alike = None if pb.trail else (plan.name, pb.title if plan.seats else None, pb.cells)
+        alike = None if pb.trail else (plan.name, pb.title if plan.seats else None, pb.cells, pb.rates[0])
         if alike and self.jam[0] == now and (drawn := self.jam[1].get(alike)) is not None:
             self.draws += drawn
             return False
@@ -349,7 +357,7 @@
         for s in order:
             # DESIGN looks at the link alone here; an uplink that was measured full would starve them all
             lines = [s, s.rack] if s.rack.settled(now) < 5 * SECOND else [s]
-            if all(at.asked(now) + self._rate(plan, plan.floor) <= at.limit(now) for at in lines):
+            if all(at.asked(now) + pb.rates[plan.floor] <= at.limit(now) for at in lines):
                 return self._send(now, pb, s, plan.floor)
         return self._jammed(now, alike, before)
 
@@ -466,9 +474,6 @@
         # spread by a product: crc32 alone is linear, two seeds would order all their draws alike
         return zlib.crc32(b"%d" % self.draws, self.seeded) * 2654435761 % 2**32 / 2**32
 
-    def _rate(self, plan, rung):
-        return self.rates[plan.name][rung]
-
     def _note_own(self, now, s):
         s.rack.known, self.jam = (None, 0.0), (None, {})
         s.asks.append((now, sum([pb.rates[pb.rung] for pb in s.playbacks])))
@@ -544,9 +549,9 @@
                 break  # its rung is settled, and only it is asked for
         return rungs
 
-    def _steps(self, plan):
+    def _steps(self, plan, rates):
         """(order, kB) of the step up from each rung: what earns most for a kB goes first."""
-        rates, earns, out = self.rates[plan.name], self.d.ladder.revenue, []
+        earns, out = self.d.ladder.revenue, []
         for low, (kb, more) in enumerate(zip(rates, rates[1:], strict=False)):
             gain = plan.revenue * (earns[low + 1] - earns[low])
             out.append((-gain / max(more - kb, 1e-9), more - kb))
@@ -558,7 +563,7 @@
         if pb.rates[pb.plan.floor] > free:
             return None
         top = self._fair(now, s.rack, pb, s)[pb]
-        return next(r for r in range(top, -1, -1) if self._rate(pb.plan, r) <= free)
+        return next(r for r in range(top, -1, -1) if pb.rates[r] <= free)
 
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
@@ -583,14 +588,14 @@
             if pb.state is not State.PLAYING or s.stuck(now):
                 continue
             if pb.rung > fair and max(cut[s], cut[rack]) > 0:
-                kb = self._rate(pb.plan, pb.rung) - self._rate(pb.plan, fair)
+                kb = pb.rates[pb.rung] - pb.rates[fair]
                 cut[s], cut[rack] = cut[s] - kb, cut[rack] - kb
                 self._step(now, pb, fair)
             # 8 s between steps of one playback keep to the three a minute that the design allows
             elif pb.rung < fair and now - pb.stepped > 8 * SECOND and min(part[s], part[rack]) > 0:
                 left = pb.ends - now if pb.ends else fmean(self.lives or [20 * SECOND])
                 for rung in range(fair, pb.rung, -1):
-                    kb = self._rate(pb.plan, rung) - self._rate(pb.plan, pb.rung)
+                    kb = pb.rates[rung] - pb.rates[pb.rung]
                     gain = ladder.revenue[rung] - ladder.revenue[pb.rung]
                     # it must earn twice what the change costs, as the time left is a guess
                     if kb <= min(room[s], room[rack]) and gain * left > 2 * ladder.switch_cost:
--- a/terndrift/http/carrier.py
+++ b/terndrift/http/carrier.py
@@ -45,7 +45,7 @@
 
 class HttpCarrier:
     """`addresses` maps a streamer's id to where it listens; `connect` ns to make a connection. What a
-    playback is wanted with (`Wanted.about`) are its player's CMCD hints."""
+    playback is wanted with (`Wanted.about`) has its player's CMCD `hints` and its title's `rungs`."""
 
     def __init__(self, host, pool, addresses, connect):
         self.host, self.pool, self.addresses, self.connect = host, pool, addresses, connect
@@ -53,9 +53,10 @@
         self.farewells = set()
 
     def rates(self, carried):
-        """Bytes a second, rung by rung, of this playback's plan."""
+        """Bytes a second, rung by rung, of this playback's title and plan."""
         d = self.host.core.deployment
-        return [kb * 1000 * d.plans[carried.wanted.plan].scale for kb in d.ladder.rates]
+        ladder = carried.wanted.rates or d.ladder.rates
+        return [kb * 1000 * d.plans[carried.wanted.plan].scale for kb in ladder]
 
     def said_to_streamer(self, carried, hints, rung, **more):
         """The CMCD headers of a request to a streamer: the player's hints, with ours where they rule."""
@@ -128,7 +129,7 @@
 
         try:
             target = f"/v/{quote(carried.wanted.title, safe='')}/main.m3u8"
-            headers = self.said_to_streamer(carried, carried.wanted.about, rung, ot="m", su=True)
+            headers = self.said_to_streamer(carried, carried.wanted.about.hints, rung, ot="m", su=True)
             code = await call.run("GET", target, headers, on_chunk=collect)
         except Broken:
             return None if call.given_up else self._over(carried, Ending.BROKEN)
@@ -140,8 +141,8 @@
             return self._over(carried, Ending.FULL if code == 503 else Ending.ERRED, figures)
         out = self.tries[carried]
         try:
-            out.playlist = playlists.offered(bytes(body), len(self.host.core.deployment.ladder.rates),
-                                             plan.floor, carried.wanted.top)
+            out.playlist = playlists.offered(bytes(body), carried.wanted.about.rungs, plan.floor,
+                                             carried.wanted.top)
         except playlists.Unusable:
             self._farewell(call.address, carried.id)
             return self._over(carried, Ending.ERRED, figures)
--- a/terndrift/http/front.py
+++ b/terndrift/http/front.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import secrets
+from dataclasses import dataclass
 from urllib.parse import quote, unquote
 
 from terndrift.core.carried import Kind, Wanted
@@ -31,6 +32,27 @@
 MANIFEST_STATIC = cmsd.static_header({"ot": "m", "sf": "h", "st": "v"})
 
 
+@dataclass(frozen=True)
+class Served:
+    """A title as it is served now."""
+
+    plan: str
+    abandon: int  # ns that a viewer waits
+    cells: frozenset  # of its holders
+    segments: int
+    length: int  # ns
+    rates: tuple | None  # kB a second by rung; None: the deployment's ladder
+    rungs: tuple  # those that it has
+
+
+@dataclass(frozen=True)
+class About:
+    """What the front keeps with a wanted playback, for its carrier."""
+
+    hints: cmcd.Hints
+    rungs: tuple
+
+
 class Awaited:
     """A playback whose answer requests wait for: one, or more of the same visit."""
 
@@ -40,7 +62,8 @@
 
 
 class Front:
-    """`titles(name)`: (plan, its abandon time, holders' cells, segments, length in ns), or None."""
+    """`titles.find(name)`: a `Served`, or None; `titles.rung(name, wanted, floor, top)`: the nearest rung
+    that the title has now."""
 
     def __init__(self, host, carrier, titles, limits, log):
         self.host, self.carrier, self.titles, self.log = host, carrier, titles, log
@@ -90,14 +113,13 @@
 
     async def _set_up(self, exchange, title):
         now, core = self.now(), self.host.core
-        found = self.titles(title)
+        found = self.titles.find(title)
         if found is None:
             return await exchange.reply(404, text="no such title")
-        plan_name, abandon, cells, segments, length = found
-        plan = core.deployment.plans[plan_name]
+        plan = core.deployment.plans[found.plan]
         hints = self._hints(exchange)
-        rates = [kb * 1000 * plan.scale for kb in core.deployment.ladder.rates]
-        asked = understand(hints, title, plan.floor, plan.top, rates, abandon)
+        rates = [kb * 1000 * plan.scale for kb in found.rates or core.deployment.ladder.rates]
+        asked = understand(hints, title, plan.floor, plan.top, rates, found.abandon)
         for what in asked.ignored:
             self.log.info("hint ignored", key=what.key, why=what.why, title=title)
         visit, joins = self.visits.come(now, asked.visit, title)
@@ -110,14 +132,15 @@
                 awaited = visit.awaited
             else:
                 awaited = self._want(now, Wanted(
-                    plan_name, title, cells, asked.top, asked.time_left, length, hints), visit)
+                    found.plan, title, found.cells, asked.top, asked.time_left, found.length, found.rates,
+                    About(hints, found.rungs)), visit)
             answer = await self._await(exchange, awaited)
         finally:
             self.gate.leave(self.now(), source)
         if answer is None:
             return None  # this viewer has left
         if answer.kind is Kind.PLAYS:
-            return await self._plays(exchange, awaited, segments)
+            return await self._plays(exchange, awaited, found.segments)
         if answer.kind is Kind.REJECTED:
             return await self._turn_away(exchange, answer.come_back)
         return await exchange.reply(504, text=answer.why or "aborted")
@@ -201,6 +224,7 @@
             return await exchange.reply(429, {"Retry-After": "1"}, text="too many requests at once")
         plan = core.deployment.plans[carried.wanted.plan]
         rung = self.seats.rung(seat, plan.floor, asked)
+        rung = self.titles.rung(carried.wanted.title, rung, plan.floor, carried.wanted.top)
         relay = Relay(self, exchange, seat, rung, number, hints)
         seat.out += 1
         self.relays[relay] = None
--- a/terndrift/http/playlists.py
+++ b/terndrift/http/playlists.py
@@ -14,18 +14,18 @@
 @lru_cache(maxsize=512)
 def offered(body, rungs, floor, top):
     """The streamer's multivariant playlist with the rungs from floor to top alone; `{base}` stands where a
-    playback's own path goes. Variants are rungs in order of their bandwidth."""
+    playback's own path goes. Variants are the title's rungs (a tuple of their numbers) by bandwidth."""
     try:
         playlist = m3u8.loads(body.decode("utf-8"))
     except (ValueError, TypeError, KeyError, IndexError, AttributeError) as wrong:
         raise Unusable(f"not a playlist: {wrong}") from None
     variants = sorted(playlist.playlists, key=lambda p: p.stream_info.bandwidth or 0)
-    if len(variants) != rungs:
-        raise Unusable(f"{len(variants)} variants where the ladder has {rungs} rungs")
-    kept = variants[floor:top + 1]
-    for rung, variant in enumerate(kept, floor):
+    if len(variants) != len(rungs):
+        raise Unusable(f"{len(variants)} variants where the title has {len(rungs)} rungs")
+    kept = [(rung, variant) for rung, variant in zip(rungs, variants, strict=True) if floor <= rung <= top]
+    for rung, variant in kept:
         variant.uri = "{base}/r%d/index.m3u8" % rung
-    playlist.playlists[:] = kept
+    playlist.playlists[:] = [variant for _, variant in kept]
     return playlist.dumps()
 
 
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -14,9 +14,12 @@
 not needed); an early or a late call does no harm. The calls:
 
     list_changed(now, entries, whole, old)     the server list: all of it or changes; old: a cached copy
-    wanted(now, id, plan, title, cells, top, time_left, hint, moved)    a viewer asks; the
+    wanted(now, id, plan, title, cells, top, time_left, hint, moved, rates)    a viewer asks; the
                                                title's holders are the streamers of these cells
-                                               (a frozenset)
+                                               (a frozenset); rates: its own ladder, kB a second,
+                                               None: the deployment's
+    holders_changed(now, id, cells)            of what is held or trying: from now on these hold it; a
+                                               try that is out goes on
     handed_over(now, id, ..., streamer)        as `wanted`, but it plays already at that streamer
     playing(now, id, took)                     the set-up that is out came to play
     try_ended(now, id, ending, took, finished, streamer, report)   a set-up, or what played, is over
--- a/terndrift/rehearse/demo.py
+++ b/terndrift/rehearse/demo.py
@@ -43,7 +43,7 @@
         with open(front, "w", encoding="utf-8") as file:
             file.write(DEPLOYMENT + 'controller: name: "demo"\nlist: "list.rec"\nlog: level: "warning"\n')
         controller = service.Service(service.read(front))
-        controller.start()
+        await controller.start()
         say(f"http://{controller.address}/v/shelving/main.m3u8")
         code = 0
         if try_it:
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -4,23 +4,35 @@
 import gc
 import os
 import signal
+import time
 from types import SimpleNamespace
 
 from terndrift import deployment, logs, records
+from terndrift.catalogue.admin import BODY, Admin
+from terndrift.catalogue.service import STREAM, Catalogue, Keeper, over
+from terndrift.catalogue.source import Source
+from terndrift.catalogue.titles import available, dense, nearest, valid
+from terndrift.catalogue.versions import change_of
 from terndrift.core.core import Core
 from terndrift.core.host import Clock, Host
 from terndrift.decide import Controller
 from terndrift.http.carrier import HttpCarrier
 from terndrift.http.client import Pool
-from terndrift.http.front import Front
+from terndrift.http.front import Front, Served
 from terndrift.http.server import Server
 from terndrift.listing.file import Copy, Followed
 from terndrift.listing.roll import Roll
+from terndrift.scheduler.runner import Runner
+from terndrift.store.commit import Committer
+from terndrift.store.files import Files
+from terndrift.store.store import Store
 
 SECOND = 1_000_000_000
 # Objects made between collections, and collections of the young before one of all. Python's own 700, 10, 10
 # stop the loop for tens of ms at a thousand playbacks; garbage in circles is little here (tasks, exceptions).
 COLLECT = (20_000, 20, 50)
+# Titles whose cells and rates are kept worked out: what is asked for in an hour, not the whole catalogue.
+MOST_KNOWN = 10_000
 
 
 def read(path):
@@ -28,12 +40,62 @@
     value = records.load(path, "front")
     deployment.check(value["deployment"])
     beside = os.path.dirname(os.path.abspath(path))
-    for key in ("list", "cache", "ready"):
-        if value[key]:
-            value[key] = os.path.join(beside, value[key])
+    for part, keys in ((value, ("list", "cache", "ready")), (value["catalogue"], ("store", "file"))):
+        for key in keys:
+            if part[key]:
+                part[key] = os.path.join(beside, part[key])
     return value
 
 
+class Titles:
+    """What the catalogue says, as fronts and core ask for it."""
+
+    def __init__(self, value, made, addresses):
+        self.versions = over(made.plans, value["ladder"]["rates"])
+        self.value, self.made, self.addresses = value, made, addresses
+        self.everywhere, self.known = frozenset(), {}  # name -> (Title, Served)
+
+    def listed(self, addresses):
+        self.everywhere = frozenset(addresses)
+        self.known.clear()
+
+    def cells(self, name):
+        title = self.versions.get(name)
+        if title is None or title.nowhere:
+            return frozenset()
+        return frozenset(title.holders) if title.holders else self.everywhere
+
+    def permits(self, wanted, streamer):
+        title = self.versions.get(wanted.title)
+        return title is not None and not title.nowhere and (
+            not title.holders or streamer.cell in title.holders)
+
+    def find(self, name):
+        title = self.versions.get(name)
+        # a plan may have gone from the front file since the title was put: nobody can say its terms
+        if title is None or title.plan not in self.made.plans or not valid(title, time.time()):
+            return None
+        was, served = self.known.get(name, (None, None))
+        if was is not title:
+            segment, ladder = self.value["segment"], self.value["ladder"]["rates"]
+            count = max(1, -(-title.seconds * SECOND // segment))
+            rates = tuple(r / 1000 for r in dense(title, ladder)) if title.rates else None
+            served = Served(title.plan, self.value["plans"][title.plan]["abandon"], self.cells(name), count,
+                            count * segment, rates, tuple(available(title, ladder)))
+            if len(self.known) >= MOST_KNOWN:
+                self.known.clear()
+            self.known[name] = title, served
+        return served
+
+    def rung(self, name, wanted, floor, top):
+        """The nearest rung that the title has now; one that is gone plays on as it was."""
+        title = self.versions.get(name)
+        if title is None:
+            return wanted
+        rung = nearest(available(title, self.value["ladder"]["rates"]), wanted, floor, top)
+        return wanted if rung is None else rung
+
+
 class Service:
     def __init__(self, value, log=None, controller=None):
         self.value = value
@@ -45,50 +107,73 @@
                          value["deployment"]["rules"]["drain_grace"], logs.watcher(self.log),
                          controller or Controller)
         self.host = Host(self.core, self.clock)
-        self.known, self.plans = deployment.titles(value["deployment"]), value["deployment"]["plans"]
-        self.addresses, self.everywhere = {}, frozenset()
+        self.addresses = {}
+        self.titles = Titles(value["deployment"], made, self.addresses)
+        self.core.permits = self.titles.permits
         self.pool = Pool(http["pool"])
         self.carrier = HttpCarrier(self.host, self.pool, self.addresses, http["connect"])
         room = SimpleNamespace(open=limits["open"], playbacks=limits["playbacks"], idle=http["idle"],
                                stall=http["stall"])
-        self.front = Front(self.host, self.carrier, self.title, room, self.log)
+        self.front = Front(self.host, self.carrier, self.titles, room, self.log)
         self.server = Server(self.front.handle, http["connections"], http["header"],
                              http["header_time"] / SECOND, http["stall"] / SECOND, fault=self._fault)
         self.list = Followed(value["list"], value["list_poll"] / SECOND, Roll(), Copy(value["cache"]),
                              self.clock, self._list_changed, self.log)
-        self.address, self.tasks, self.stopped = None, [], None
-
-    def title(self, name):
-        """(plan, its abandon time, holders' cells, segments, length) of a title, or None."""
-        found = self.known.get(name)
-        if found is None:
-            return None
-        cells = self.everywhere if found.holders is None else found.holders
-        return found.plan, self.plans[found.plan]["abandon"], cells, found.segments, found.length
+        self.address, self.admin_address, self.tasks, self.stopped = None, None, [], None
+        self.runner = Runner(value["background"], self.log)
+        self._open_catalogue(value["catalogue"])
 
     def _list_changed(self, entries, addresses, old):
         self.addresses.clear()
         self.addresses.update(addresses)
-        self.everywhere = frozenset(addresses)
+        self.titles.listed(addresses)
         self.log.info("list", streamers=len(entries), old=old)
         self.host.do(self.core.list_changed, entries, True, old)
 
+    def _open_catalogue(self, value):
+        """Raises store.Held, store.Damaged where its folder can't be had."""
+        versions, committer = self.titles.versions, None
+        if value["store"]:
+            keeper = Keeper(versions)
+            committer = Committer(Store(Files(value["store"]), {STREAM: keeper}, value["last_good"]))
+            for what in committer.store.dropped:
+                self.log.warning("store: dropped", what=str(what))
+        self.catalogue = Catalogue(versions, committer, self.runner, self._titles_changed, self.log)
+        self.admin = Server(Admin(self.catalogue, lambda: self.addresses).handle, 64, fault=self._fault,
+                            body_size=BODY)
+        self.source = Source(value["file"], value["poll"] / SECOND, self.catalogue, self.log, time.time)
+
+    def _titles_changed(self, names):
+        self.host.do(self.core.holders_changed, {name: self.titles.cells(name) for name in names})
+
+    async def _first_titles(self):
+        """The titles of the front file, where the catalogue has none of its own yet; then its file."""
+        if self.titles.versions.newest == 0 and self.value["deployment"]["titles"]:
+            put = {name: {"plan": t["plan"], "seconds": t["seconds"], "holders": t["holders"]}
+                   for name, t in self.value["deployment"]["titles"].items()}
+            await self.catalogue.apply(change_of({"id": "front-file", "put": put}, "front file", time.time()))
+        if self.value["catalogue"]["file"]:
+            self.tasks.append(asyncio.ensure_future(self.source.follow()))
+
     def _fault(self, exchange, error):
         self.log.error("fault of a front", path=exchange.path, exc_info=error)
 
-    def start(self):
+    async def start(self):
         """Within a running loop: opens the front. Raises records.Wrong without any list, OSError without
         the port."""
         self.list.begin()
-        self.address = self.server.listen_on(self.value["http"]["listen"])
         self.stopped = asyncio.Event()
-        self.tasks = [asyncio.ensure_future(self.list.follow()), asyncio.ensure_future(self._seconds())]
+        await self._first_titles()
+        self.address = self.server.listen_on(self.value["http"]["listen"])
+        if self.value["catalogue"]["admin"]:
+            self.admin_address = self.admin.listen_on(self.value["catalogue"]["admin"])
+        self.tasks += [asyncio.ensure_future(self.list.follow()), asyncio.ensure_future(self._seconds())]
         if self.value["ready"]:
             part = self.value["ready"] + ".part"
             with open(part, "w", encoding="utf-8") as file:
-                file.write(self.address + "\n")
+                file.write("\n".join(filter(None, (self.address, self.admin_address))) + "\n")
             os.replace(part, self.value["ready"])
-        self.log.info("listening", address=self.address, controller=self.core.name)
+        self.log.info("listening", address=self.address, admin=self.admin_address, controller=self.core.name)
 
     async def _seconds(self):
         while True:
@@ -118,12 +203,16 @@
             await asyncio.wait(self.carrier.farewells, timeout=1.0)
         self.carrier.close()
         self.pool.close()
+        await self.admin.drain(1.0)
+        self.runner.close()
+        if self.catalogue.committer:
+            self.catalogue.committer.close()
         self.host.stop()
         self.stopped.set()
 
     async def run(self):
         """Until SIGTERM or SIGINT: the first drains, a second one ends the process at once."""
-        self.start()
+        await self.start()
         # what stands now stands for good: the collector need not go through it again and hold the loop up
         gc.collect()
         gc.freeze()
--- a/tests/world.py
+++ b/tests/world.py
@@ -64,7 +64,7 @@
             self.make(self.service)
         # what just started may find streamers that just started too; tests of that say so themselves
         self.service.core.controller.began_empty = False
-        self.service.start()
+        await self.service.start()
         self.address = self.service.address
         self.note("controller up", name="c0", address=self.address)
 
@@ -100,8 +100,9 @@
         return (*answer, time.monotonic() - began)
 
     def player(self, title="clip", visit="", **more):
-        plan = self.service.known[title].plan if title in self.service.known else "free"
-        abandon = self.service.plans[plan]["abandon"] / 1e9
+        found = self.service.titles.find(title)
+        plan = found.plan if found else "free"
+        abandon = self.service.value["deployment"]["plans"][plan]["abandon"] / 1e9
         return Player(lambda: self.address, title, self.seen, self.pool, visit, plan, abandon, **more)
 
     def raw(self, data):
