--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -7,8 +7,10 @@
 import click
 
 from terndrift import deployment, logs, records, service
+from terndrift.cli import stored
 from terndrift.hints import cmcd, cmsd
 from terndrift.listing.roll import Unusable
+from terndrift.store.store import Damaged, Held
 
 
 class Group(click.Group):
@@ -17,7 +19,7 @@
     def invoke(self, ctx):
         try:
             return super().invoke(ctx)
-        except (records.Wrong, deployment.Amiss, Unusable) as wrong:
+        except (records.Wrong, deployment.Amiss, Unusable, Damaged, Held) as wrong:
             click.echo(f"terndrift: {wrong}", err=True)
         except OSError as wrong:
             where = f"{wrong.filename}: " if wrong.filename else ""
@@ -163,7 +165,7 @@
         with open(out, "w", encoding="utf-8") as file:
             json.dump({"day": day, **report}, file, indent=1)
     click.echo(json.dumps(report, indent=1))
-    sys.exit(1 if any(report["rules"].values()) or report["bugs"] else 0)
+    sys.exit(1 if any(report["rules"].values()) or report["bugs"] or report["wrong_placements"] else 0)
 
 
 @cli.group()
@@ -193,5 +195,9 @@
     click.echo(json.dumps(out, indent=2))
 
 
+cli.add_command(stored.catalogue)
+cli.add_command(stored.store)
+
+
 def main():
     cli(prog_name="terndrift")
--- a/terndrift/http/client.py
+++ b/terndrift/http/client.py
@@ -95,7 +95,7 @@
         self.pool.opened += 1
         self.stream.set_nodelay(True)
 
-    async def run(self, method, target, headers, on_head=None, on_chunk=None):
+    async def run(self, method, target, headers, on_head=None, on_chunk=None, body=b""):
         """Sends the request and hands the answer on; both callbacks may return an awaitable, and nothing
         more is read until it is done. Raises Broken. Returns the status code."""
         self.on_head, self.on_chunk = on_head, on_chunk
@@ -105,7 +105,7 @@
             self.stream.set_nodelay(True)  # see Exchange.start
             connection.write_headers(
                 httputil.RequestStartLine(method, target, "HTTP/1.1"),
-                httputil.HTTPHeaders({"Host": self.address, **headers}))
+                httputil.HTTPHeaders({"Host": self.address, **headers}), body or None)
             connection.finish()
             await connection.read_response(self)
         except (StreamClosedError, UnsatisfiableReadError) as wrong:
--- a/terndrift/rehearse/draw.py
+++ b/terndrift/rehearse/draw.py
@@ -16,6 +16,7 @@
     faults: list = field(default_factory=list)  # dicts as fleet.rec's #Fault, times in ns
     edits: list = field(default_factory=list)  # (ns, streamer id, standing, ns of its start or None)
     kills: list = field(default_factory=list)  # (ns, controller's number, ns until it starts again)
+    swaps: list = field(default_factory=list)  # (ns, title, ids of its holders; None: removed)
     arrivals: list = field(default_factory=list)  # dicts of viewers, in order of time
 
 
@@ -52,6 +53,7 @@
                 out.edits += [(at + late, i, "gone", None) for i in some]
                 out.edits += [(at + lasts + late, i, "ready", at + lasts) for i in some]
     out.edits.sort(key=lambda e: e[:2])
+    _swaps(out, day, chance, seconds)
     out.arrivals = _viewers(day, chance, rates, seconds)
     return out
 
@@ -61,6 +63,16 @@
     return sorted(chance.sample(among, max(1, round(share * len(among)))))
 
 
+def _swaps(out, day, chance, seconds):
+    """Title by title, so that each stands for a while: its holders become another half of the streamers."""
+    every, titles = day["swaps"]["every"], sorted(day["deployment"]["titles"])
+    ids = [s["id"] for s in out.streamers]
+    for n in range(int(seconds * SECOND // every) if every else 0):
+        gone = chance.random() < day["swaps"]["drops"]
+        holders = None if gone else sorted(chance.sample(ids, max(3, len(ids) // 2)))
+        out.swaps.append((n * every, titles[n % len(titles)], holders))
+
+
 def _roll(out, ids, at, lasts, late):
     """One after the other: told to drain, gone after a third of its turn, back cold after two thirds."""
     turn = lasts // len(ids)
--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from terndrift import deployment, records
-from terndrift.audit import figures, judge
+from terndrift.audit import figures, judge, placements
+from terndrift.http.client import Broken, Call, Pool, Unreached
 from terndrift.rehearse.draw import drawn
 from terndrift.standin.fleet import write_list
 from terndrift.standin.ledger import Ledger, read
@@ -69,7 +70,7 @@
         self.controllers, self.folder = controllers, folder
         self.drawn = drawn(day, seed, controllers, streamers, seconds)
         self.processes, self.started, self.standing = {}, {}, {}
-        self.lines, self.addresses = {}, []
+        self.lines, self.addresses, self.admins = {}, [], {}
 
     def path(self, name):
         return os.path.join(self.folder, name)
@@ -148,7 +149,8 @@
                                 "seed": self.seed * 100 + n},
                  "http": {"listen": listen, "drain": ns(SECOND)}, "list": "list.rec",
                  "list_poll": ns(LIST_POLL * SECOND), "cache": f"c{n}.cache", "ready": f"c{n}.ready",
-                 "log": {"level": "info", "form": "json"}}
+                 "log": {"level": "info", "form": "json"},
+                 "catalogue": {"admin": "127.0.0.1:0", "store": f"c{n}.store"}}
         with open(self.path(f"c{n}.rec"), "w", encoding="utf-8") as file:
             file.write(written(value)[2:-1])
         await self._spawn(f"c{n}", "terndrift", "serve", self.path(f"c{n}.rec"), "--policy", self.policy)
@@ -156,7 +158,7 @@
     async def _up(self, n):
         await self._appears(f"c{n}", self.path(f"c{n}.ready"))
         with open(self.path(f"c{n}.ready"), encoding="utf-8") as file:
-            address = file.read().strip()
+            address, self.admins[n] = file.read().split()
         self.addresses[n:n + 1] = [address]
         self.ledger.note("controller up", name=f"c{n}", address=address)
         return address
@@ -168,6 +170,7 @@
             file.write(msgspec.json.encode(value))
         crowd = await self._spawn("viewers", "terndrift.rehearse.crowd", self.path("viewers.json"))
         work = [asyncio.ensure_future(self._edits())]
+        work += [asyncio.ensure_future(self._swaps(n)) for n in range(self.controllers)]
         work += [asyncio.ensure_future(self._kill(*kill)) for kill in self.drawn.kills]
         await asyncio.wait_for(crowd.wait(), self.seconds + TAIL + 60)
         await asyncio.gather(*work)
@@ -184,6 +187,22 @@
             self._write_list()
             self.ledger.note("listed", streamer=id, standing=standing)
 
+    async def _swaps(self, n):
+        """Changes one controller's catalogue, and notes from when to when a change may count either way."""
+        pool = Pool()
+        for number, (at, title, holders) in enumerate(self.drawn.swaps):
+            await self._until(at)
+            row = self.day["deployment"]["titles"][title]
+            change = {"id": f"swap-{number}"}
+            if holders is None:
+                change["drop"] = [title]
+            else:
+                change["put"] = {title: {"plan": row["plan"], "seconds": row["seconds"], "holders": holders}}
+            self.ledger.note("swap", controller=f"c{n}", number=number, title=title, holders=holders)
+            code = await _post(pool, self.admins[n], "/catalogue/changes", change)
+            self.ledger.note("swapped", controller=f"c{n}", number=number, code=code)
+        pool.close()
+
     async def _kill(self, at, n, lasts):
         await self._until(at)
         process, address = self.processes[f"c{n}"], self.addresses[n]
@@ -213,7 +232,20 @@
         facts = judge.Facts(self.day["deployment"], notes, told_within=LIST_POLL + 0.2)
         return {"seed": self.seed, "policy": self.policy, "controllers": self.controllers,
                 "streamers": len(self.drawn.streamers), "seconds": self.seconds,
-                **figures.report(facts, self.drawn.arrivals), **judge.report(facts)}
+                **figures.report(facts, self.drawn.arrivals), **placements.report(facts),
+                **judge.report(facts)}
+
+
+async def _post(pool, address, path, value):
+    """The status of a JSON POST; 0: there was none."""
+    call, body = Call(pool, address), msgspec.json.encode(value)
+    try:
+        await call.open(1.0)
+        sent = call.run("POST", path, {"Content-Length": str(len(body))}, body=body)
+        return await asyncio.wait_for(sent, 10)
+    except (Unreached, Broken, TimeoutError):
+        call.close()
+        return 0
 
 
 def load(name):
--- a/terndrift/standin/fleet.py
+++ b/terndrift/standin/fleet.py
@@ -41,7 +41,7 @@
             rack = self.racks.setdefault(row["rack"], Rack(d["links"]["uplink"]))
             s = self.streamers[row["id"]] = Streamer(
                 {**row, "name": name}, rack, titles, d["rules"], d["links"]["places"].get(row["kind"], 8),
-                self.shaper, self.ledger, d["segment"])
+                self.shaper, self.ledger, d["segment"], d["ladder"]["rates"])
             rack.streamers.append(s)
 
     def start(self):
--- a/terndrift/standin/streamer.py
+++ b/terndrift/standin/streamer.py
@@ -26,10 +26,10 @@
 class Streamer:
     """`row`: its line of the fleet; `titles`: name -> (plan's rates, segments, seconds of one)."""
 
-    def __init__(self, row, rack, titles, rules, places, shaper, ledger, segment):
+    def __init__(self, row, rack, titles, rules, places, shaper, ledger, segment, ladder):
         self.id, self.name, self.rack = row["id"], row["name"], rack
         self.row, self.titles, self.rules, self.places = row, titles, rules, places
-        self.shaper, self.ledger, self.segment = shaper, ledger, segment
+        self.shaper, self.ledger, self.segment, self.ladder = shaper, ledger, segment, ladder
         self.link = rack.link(row["link"])
         self.streams, self.recent, self.busy = {}, deque(), 0
         self.started = 0  # ns on the monotonic clock; 0: long ago
@@ -101,15 +101,15 @@
             self.streams.pop(parts[2], None)
             return await exchange.reply(204)
         title = unquote(parts[2]) if len(parts) > 3 and parts[1] == "v" else None
-        if title not in self.titles:
-            return await exchange.reply(404, text="no such title")
+        if title is None:
+            return await exchange.reply(404, text="nothing here")
         if len(parts) == 4:
             return await self.set_up(exchange, pb, title, hints)
         stream = self.streams.get(pb)
         if stream is None:
             return await exchange.reply(404, text="no such playback here")
         stream.heard = time.monotonic_ns()
-        rates, count, seconds = self.titles[title]
+        rates, count, seconds = self.about(title)
         rung = int(parts[3][1:])
         if parts[4] == "index.m3u8":
             body = playlists.media(count, seconds).encode()
@@ -117,6 +117,10 @@
             return await exchange.reply(200, {"Content-Type": playlists.TYPE, **said}, body)
         return await self.media(exchange, pb, stream, rung, rates[rung], hints, seconds)
 
+    def about(self, title):
+        """(rates, segments, seconds of one). A title that it was not told of is made up: any is held here."""
+        return self.titles.get(title) or (self.ladder, 60, self.segment / SECOND)
+
     async def set_up(self, exchange, pb, title, hints):
         now, number = time.monotonic_ns(), hints.custom.get(NUMBER, (None, 0))[1]
         self.ledger.note("try", streamer=self.id, pb=pb, number=number, title=title, br=hints.get("br"),
@@ -148,7 +152,7 @@
         self.ledger.note("ran", streamer=self.id, pb=pb, number=number)
         if exchange.gone or self.server is None:
             return None
-        rates, _, _ = self.titles[title]
+        rates, _, _ = self.about(title)
         rung = max((r for r, rate in enumerate(rates) if kbit(rate) <= hints.get("br", 0)), default=0)
         self.streams[pb] = Stream(title, rates[rung], time.monotonic_ns())
         said = self.said(True, {"ot": "m", "sf": "h", "st": "v"}, rd=20)
--- a/terndrift/store/store.py
+++ b/terndrift/store/store.py
@@ -10,6 +10,10 @@
 CHUNK = 200
 
 
+# Put behind the name of a file given up on the operator's word: it is kept for whoever wants to look.
+DAMAGED = ".damaged"
+
+
 class Broken(RuntimeError):
     """The store can't be trusted to keep anything more; it has to be opened anew."""
 
@@ -84,13 +88,21 @@
         for _, stream, record in found.records:
             if stream in self.keepers:
                 self.keepers[stream].replay(record)
+        self.unknown = {stream for _, stream, _ in found.records if stream not in self.keepers}
         self.foreign = {s: i for s, i in items.items() if s not in self.keepers}
         self.since_snapshot = len(found.records)
         if lenient and found.damage + found.dropped:
             # what could not be read must not be met again: the state as found becomes the new beginning
+            first = f"log-{self.last + 1:016d}"
+            if first in self.files.names():  # it has nothing sound, or its records would be in the state
+                self.files.rename(first, first + DAMAGED)
             self._begin_log(self.last + 1)
-            for _ in self.snapshot():
+            for _ in self.snapshot(replace=True):
                 pass
+            for name in {d.file for d in found.damage + found.dropped} & set(self.files.names()):
+                if name.startswith("log-") and name != self.name:
+                    self.files.rename(name, name + DAMAGED)
+            self.files.sync_folder()
         elif found.tail is None or found.tail_end == 0:
             if found.tail is not None and found.tail != f"log-{self.last + 1:016d}":
                 self.files.remove(found.tail)
@@ -156,10 +168,13 @@
 
     def capture(self):
         """The state of now, for `snapshot`: taken when every record that is durable has been applied."""
+        if self.unknown:
+            # a snapshot would be without them, and the log that has them would be dropped
+            raise Broken(f"records of streams that this program does not know: {sorted(self.unknown)}")
         parts = {stream: iter(keeper.items()) for stream, keeper in self.keepers.items()}
         return self.last, parts | {stream: iter(items) for stream, items in self.foreign.items()}
 
-    def snapshot(self, captured=None):
+    def snapshot(self, captured=None, replace=False):
         """A generator that writes the state captured, a slice at each step (yielding the bytes written), then
         drops what is no longer needed. Records may be appended between the steps: they go to a new log."""
         if self.broken:
@@ -172,7 +187,7 @@
         self.since_snapshot = self.last - upto
         name = f"snap-{upto:016d}"
         names = self.files.names()
-        if name in names:
+        if name in names and not replace:
             return
         if name + recovery.PART in names:
             self.files.remove(name + recovery.PART)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -5,6 +5,9 @@
 
 from world import in_world
 
+from terndrift.audit import placements
+from terndrift.catalogue.titles import Title
+from terndrift.catalogue.versions import Change
 from terndrift.core.carried import Answer, Kind
 from terndrift.hints import cmcd
 from terndrift.http.seats import Seats
@@ -175,3 +178,24 @@
     await asyncio.gather(asks(world, "clip", 10), asks(world, "lesson", 5), asks(world, "seat", 3))
     code, *_ = await world.ask("clip", {cmcd.SESSION: 'sid="x"'})
     assert code == 200 and broken(world) == set()
+
+
+@in_world
+async def test_a_placement_that_the_catalogue_forbids_is_found(world):
+    world.service.core.permits = lambda *_: True
+    controller = world.service.core.controller
+    world.service.core.holders_changed = lambda *_: None
+    find = world.service.titles.find
+    stale = {name: find(name) for name in ("clip", "first")}
+    world.service.titles.find = stale.get
+    for n, holders in enumerate([[2], None]):
+        world.note("swap", controller="c0", number=n, title="first", holders=holders)
+        change = Change(f"m{n}", put={"first": Title("free", 2, holders=(2,))}) if holders else Change(
+            f"m{n}", drop=("first",))
+        await world.service.catalogue.apply(change)
+        world.note("swapped", controller="c0", number=n, code=200)
+        await asyncio.sleep(0.15)  # within the auditor's own doubt either state counts
+        await asks(world, "first", 2)
+    report = placements.report(world.facts())
+    assert report["wrong_placements"] >= 3 and controller.playbacks
+    assert await asks(world, "clip", 2) and placements.report(world.facts()) == report
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -111,3 +111,50 @@
     assert out.returncode == 0, found["breaks"] or out.stderr
     assert set(found["rules"].values()) == {0} and found["answers"]["plays"] > 0
     assert {"playbacks", "revenue_answered_in_target", "added_latency_us"} <= set(found)
+
+
+def test_the_catalogue_by_command_line_and_its_folder(tmp_path):
+    (tmp_path / "list.rec").write_text('streamers: a: {id: 1, address: "127.0.0.1:1", rack: 0, kind: "box"}')
+    front = tmp_path / "front.rec"
+    front.write_text(DEPLOYMENT + 'controller: name: "c0"\nlist: "list.rec"\nlog: form: "json"\n'
+                     'catalogue: {store: "cat", admin: "127.0.0.1:0"}\nhttp: drain: 0s\n')
+    many = tmp_path / "many.jsonl"
+    rows = [{"name": f"t{n}", "plan": "free", "seconds": 9} for n in range(300)]
+    many.write_text("".join(json.dumps(row) + "\n" for row in rows))
+    assert "300 titles, nothing amiss" in run("catalogue", "verify", str(many), "--front", str(front)).stdout
+    assert run("catalogue", "load", str(many), "--front", str(front)).exit_code == 0
+    bad = tmp_path / "bad.jsonl"
+    bad.write_text('{"name": "x", "plan": "none", "seconds": 9}\nnonsense\n')
+    out = run("catalogue", "load", str(bad), "--front", str(front))
+    assert out.exit_code == 2 and f"{bad}:2:" in out.stderr
+    serve = start("serve", str(front))
+    admin = json.loads(next(x for x in iter(serve.stderr.readline, "") if "listening" in x))["admin"]
+
+    def ask(*args):
+        out = run("catalogue", *args, "--admin", admin)
+        return out.exit_code, json.loads(out.stdout)
+
+    assert ask("show")[1]["titles"] == 300 and ask("show", "t7")[1]["seconds"] == 9
+    change = tmp_path / "change.json"
+    change.write_text('{"id": "one", "drop": ["t7"]}')
+    assert ask("apply", str(change)) == (0, {"version": 2, "new": True})
+    assert ask("show", "t7")[0] == 1 and set(ask("diff", "1", "2")[1]) == {"t7"}
+    assert ask("rollback", "1")[0] == 0 and ask("show", "t7")[0] == 0
+    assert [c["version"] for c in ask("history")[1]["changes"]] == [1, 2, 3]
+    assert run("store", "compact", str(tmp_path / "cat")).exit_code == 1, "it is in use"
+    serve.send_signal(signal.SIGTERM)
+    assert serve.wait(20) == 0
+    serve.stdout.close(), serve.stderr.close()
+    assert "the last is 3" in run("store", "verify", str(tmp_path / "cat")).stdout
+    assert run("store", "compact", str(tmp_path / "cat")).exit_code == 0
+    assert '"t299"' in run("store", "dump", str(tmp_path / "cat"), "--stream", "catalogue").stdout
+    newest = sorted(n for n in os.listdir(tmp_path / "cat") if n.startswith("snap-"))[-1]
+    with open(tmp_path / "cat" / newest, "r+b") as file:
+        file.seek(60)
+        file.write(b"damage")
+    out = run("store", "verify", str(tmp_path / "cat"))
+    assert out.exit_code == 1 and newest in out.stderr and "at byte" in out.stderr
+    out = run("serve", str(front))
+    assert out.exit_code == 2 and newest in out.stderr
+    assert run("store", "compact", str(tmp_path / "cat"), "--last-good").exit_code == 0
+    assert run("store", "verify", str(tmp_path / "cat")).exit_code == 0
