Tidy: a figure and a time that nobody read are gone

No change of behaviour: audit/figures.py had a count by second and an exchange the time it began, both unused.

--- a/terndrift/audit/figures.py
+++ b/terndrift/audit/figures.py
@@ -4,8 +4,6 @@
 
 from hdrh.histogram import HdrHistogram
 
-from terndrift.audit.facts import SECOND
-
 KINDS = {200: "plays", 503: "rejected", 504: "aborted"}
 
 
@@ -69,13 +67,3 @@
         return {"p50": None, "p99": None, "count": 0}
     return {"p50": histogram.get_value_at_percentile(50), "p99": histogram.get_value_at_percentile(99),
             "count": histogram.get_total_count()}
-
-
-def per_second(times, begin, seconds):
-    """How many of these times (ns) fall into each second of a run."""
-    out = [0] * seconds
-    for t in times:
-        n = (t - begin) // SECOND
-        if 0 <= n < seconds:
-            out[n] += 1
-    return out
--- a/terndrift/http/server.py
+++ b/terndrift/http/server.py
@@ -37,14 +37,12 @@
         self.answered, self.gone, self.too_large = False, False, False
         self.on_gone = None  # called once, if the client leaves before the answer is out
         self.task = None
-        self.began = 0
 
     @property
     def source(self):
         return self.server.peers.get(self.stream, "?")
 
     def headers_received(self, start_line, headers):
-        self.began = time.monotonic_ns()
         self.method, self.headers = start_line.method, headers
         self.path, _, self.query = start_line.path.partition("?")
         size = len(start_line.path) + sum(len(k) + len(v) + 4 for k, v in headers.get_all())
