One listing of many sources in service; streamers followed over xDS in four forms

Until now a controller followed one file, and a change of one streamer cost by the whole list. Two panics at once, a limit forgotten and an endpoint that can never be read are what could do harm; see the comments.

--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -9,7 +9,7 @@
 from terndrift import deployment, logs, records, service
 from terndrift.cli import stored
 from terndrift.hints import cmcd, cmsd
-from terndrift.listing.roll import Unusable
+from terndrift.listing.lines import Unusable
 from terndrift.store.store import Damaged, Held
 
 
--- a/terndrift/cli/stored.py
+++ b/terndrift/cli/stored.py
@@ -17,6 +17,8 @@
 from terndrift.catalogue.versions import Conflict, Versions, change_of
 from terndrift.deployment import plans
 from terndrift.http.client import Broken, Call, Pool, Unreached
+from terndrift.listing.kept import STREAM as LISTING
+from terndrift.listing.kept import Kept
 from terndrift.store.commit import Committer
 from terndrift.store.files import Files
 from terndrift.store.recovery import number
@@ -112,7 +114,7 @@
 
     async def run():
         versions = over(plans(value["deployment"]), value["deployment"]["ladder"]["rates"])
-        store = Store(Files(value["catalogue"]["store"]), {STREAM: Keeper(versions)})
+        store = Store(Files(value["catalogue"]["store"]), {STREAM: Keeper(versions), LISTING: Kept()})
         made, committer = None, Committer(store)
         try:
             change = {"id": f"load-{time.time_ns():x}", "put": put, "whole": whole}
@@ -235,7 +237,7 @@
 def store_compact(folder, last_good):
     """Write a snapshot of FOLDER's state and drop what it replaces; no controller may have it open."""
     try:
-        made = Store(Files(folder), {STREAM: Keeper(Versions({}, ()))}, last_good)
+        made = Store(Files(folder), {STREAM: Keeper(Versions({}, ())), LISTING: Kept()}, last_good)
     except (Damaged, Held) as wrong:
         fail(wrong)
     if made.unknown:
--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -42,6 +42,8 @@
         self.drain_grace = drain_grace
         # whether a streamer (a Listed) still holds what is wanted: asked just before a try goes out
         self.permits = lambda wanted, streamer: True
+        # the holders that a playback may have of those that have its title: asked once, when it is wanted
+        self.narrow = lambda cells: cells
         self.held = {}  # id -> Carried
         self.open = 0  # taken and not yet answered
         self.ids = itertools.count(1)
@@ -62,7 +64,7 @@
         self._alarm(carried.due - last_word(wanted.time_left), carried)
         self.watch("wanted", carried)
         self._call(now, carried, lambda: self.controller.wanted(
-            now, carried.id, wanted.plan, wanted.title, wanted.cells, wanted.top,
+            now, carried.id, wanted.plan, wanted.title, self.narrow(wanted.cells), wanted.top,
             wanted.time_left - margin(wanted.time_left), wanted.length, False, wanted.rates))
         return carried
 
@@ -166,6 +168,9 @@
             if e.standing is Standing.READY:
                 self.told_off.pop(e.id, None)
         self._call(now, None, lambda: self.controller.list_changed(now, entries, whole, old))
+        # what the decisions have forgotten can't be chosen: bounds the memory of a list that always changes
+        if len(self.told_off) > 2 * len(self.controller.streamers):
+            self.told_off = {i: t for i, t in self.told_off.items() if i in self.controller.streamers}
 
     def holders_changed(self, now, titles):
         """`titles`: name -> cells that hold it from now on (none: it is gone). What plays goes on, the answer
--- a/terndrift/core/host.py
+++ b/terndrift/core/host.py
@@ -21,7 +21,14 @@
 
     def of_wall(self, seconds):
         """Seconds since 1970; 0 and what lies before this machine's start is "long ago": 0."""
-        return max(0, int(seconds * SECOND) - self.apart) if seconds else 0
+        return self.of_wall_ns(int(seconds * SECOND))
+
+    def of_wall_ns(self, wall):
+        return max(0, wall - self.apart) if wall else 0
+
+    def wall_ns(self, at):
+        """The reverse: ns since 1970, 0 for long ago. Whole, so that there and back is the same."""
+        return at + self.apart if at else 0
 
 
 class Host:
--- a/terndrift/http/client.py
+++ b/terndrift/http/client.py
@@ -155,19 +155,21 @@
             self.stream.close()
 
 
-async def fetch(pool, address, method, target, headers=None, connect=1.0, within=5.0, most=1 << 20):
+async def fetch(pool, address, method, target, headers=None, connect=1.0, within=5.0, most=1 << 20,
+                body=b""):
     """A whole small answer: (code, headers, body). Raises Unreached, Broken (also when it takes too long)."""
-    call, body = Call(pool, address), bytearray()
+    call, got = Call(pool, address), bytearray()
 
     def collect(chunk):
-        body.extend(chunk)
-        if len(body) > most:
+        got.extend(chunk)
+        if len(got) > most:
             call.close()
 
     await call.open(connect)
     try:
-        await asyncio.wait_for(call.run(method, target, headers or {}, on_chunk=collect), within)
+        await asyncio.wait_for(call.run(method, target, headers or {}, on_chunk=collect, body=body),
+                               within)
     except TimeoutError:
         call.close()
         raise Broken("no answer in time") from None
-    return call.code, call.headers, bytes(body)
+    return call.code, call.headers, bytes(got)
--- /dev/null
+++ b/terndrift/listing/kept.py
@@ -0,0 +1,49 @@
+"""The list as it was last heard, in the store: what a controller starts with after it was stopped or
+killed."""
+
+STREAM = "listing"
+# Lines in one record: keeps a record's encoding to a ms or so.
+PART = 500
+
+
+class Kept:
+    """The listing's side of the store: source -> address -> row. A row is a Line's fields, its start in
+    whole ns since 1970, as the service's clock begins anew with each start of the machine."""
+
+    def __init__(self):
+        self.rows = {}
+
+    def restore(self, items):
+        for source, row in items:
+            self.rows.setdefault(source, {})[row[2]] = row
+
+    def replay(self, record):
+        rows = self.rows.setdefault(record["source"], {})
+        for row in record["put"]:
+            rows[row[2]] = row
+        for address in record["gone"]:
+            rows.pop(address, None)
+        if not rows:
+            del self.rows[record["source"]]
+
+    def items(self):
+        """As of now, however slowly it is read."""
+        return iter([(source, row) for source, rows in self.rows.items() for row in rows.values()])
+
+
+def row_of(line, to_wall):
+    return [line.name, line.id, line.address, line.rack, line.kind, line.zone, line.standing, line.weight,
+            to_wall(line.started)]
+
+
+def records(dirty, sources, to_wall):
+    """What makes the kept list that of `sources`: [(stream, record)], of the `dirty` {source: addresses}."""
+    out = []
+    for name, addresses in dirty.items():
+        lines, addresses = sources[name].lines, sorted(addresses)
+        for n in range(0, len(addresses), PART):
+            part = addresses[n:n + PART]
+            out.append((STREAM, {"source": name,
+                                 "put": [row_of(lines[a], to_wall) for a in part if a in lines],
+                                 "gone": [a for a in part if a not in lines]}))
+    return out
--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -148,7 +148,7 @@
                  "controller": {"name": f"c{n}", "rank": n, "of": self.controllers,
                                 "seed": self.seed * 100 + n},
                  "http": {"listen": listen, "drain": ns(SECOND)}, "list": "list.rec",
-                 "list_poll": ns(LIST_POLL * SECOND), "cache": f"c{n}.cache", "ready": f"c{n}.ready",
+                 "list_poll": ns(LIST_POLL * SECOND), "ready": f"c{n}.ready",
                  "log": {"level": "info", "form": "json"},
                  "catalogue": {"admin": "127.0.0.1:0", "store": f"c{n}.store"}}
         with open(self.path(f"c{n}.rec"), "w", encoding="utf-8") as file:
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -20,12 +20,14 @@
 from terndrift.http.client import Pool
 from terndrift.http.front import Front, Served
 from terndrift.http.server import Server
-from terndrift.listing.file import Copy, Followed
-from terndrift.listing.roll import Roll
+from terndrift.listing.file import Followed
+from terndrift.listing.kept import STREAM as LISTING
+from terndrift.listing.service import Listing
 from terndrift.scheduler.runner import Runner
 from terndrift.store.commit import Committer
 from terndrift.store.files import Files
 from terndrift.store.store import Store
+from terndrift.xds.sources import FILES, check, source
 
 SECOND = 1_000_000_000
 # Objects made between collections, and collections of the young before one of all. Python's own 700, 10, 10
@@ -39,8 +41,13 @@
     """A front file's value, checked in itself; raises records.Wrong or deployment.Amiss."""
     value = records.load(path, "front")
     deployment.check(value["deployment"])
+    if not value["list"] and not value["xds"]:
+        raise deployment.Amiss("list, xds: neither names where the list of streamers comes from")
+    for name, xds in value["xds"].items():
+        check(f"xds.{name}", xds)
     beside = os.path.dirname(os.path.abspath(path))
-    for part, keys in ((value, ("list", "cache", "ready")), (value["catalogue"], ("store", "file"))):
+    for part, keys in ((value, ("list", "ready")), (value["catalogue"], ("store", "file")),
+                       *((xds, FILES) for xds in value["xds"].values())):
         for key in keys:
             if part[key]:
                 part[key] = os.path.join(beside, part[key])
@@ -50,20 +57,29 @@
 class Titles:
     """What the catalogue says, as fronts and core ask for it."""
 
-    def __init__(self, value, made, addresses):
+    def __init__(self, value, made):
         self.versions = over(made.plans, value["ladder"]["rates"])
-        self.value, self.made, self.addresses = value, made, addresses
-        self.everywhere, self.known = frozenset(), {}  # name -> (Title, Served)
+        self.value, self.made = value, made
+        self.there, self.all, self.known = set(), frozenset(), {}  # known: name -> (Title, Served)
 
-    def listed(self, addresses):
-        self.everywhere = frozenset(addresses)
-        self.known.clear()
+    def listed(self, there, gone):
+        """Streamers that came to be listed, and that no longer are."""
+        if gone or not self.there.issuperset(there):
+            self.there.update(there)
+            self.there.difference_update(gone)
+            self.all = None
+
+    def everywhere(self):
+        """Every streamer listed; worked out when it is asked for, as lists may change all the time."""
+        if self.all is None:
+            self.all = frozenset(self.there)
+        return self.all
 
     def cells(self, name):
         title = self.versions.get(name)
         if title is None or title.nowhere:
             return frozenset()
-        return frozenset(title.holders) if title.holders else self.everywhere
+        return frozenset(title.holders) if title.holders else self.everywhere()
 
     def permits(self, wanted, streamer):
         title = self.versions.get(wanted.title)
@@ -76,7 +92,7 @@
         if title is None or title.plan not in self.made.plans or not valid(title, time.time()):
             return None
         was, served = self.known.get(name, (None, None))
-        if was is not title:
+        if was is not title or not title.holders and served.cells is not self.everywhere():
             segment, ladder = self.value["segment"], self.value["ladder"]["rates"]
             count = max(1, -(-title.seconds * SECOND // segment))
             rates = tuple(r / 1000 for r in dense(title, ladder)) if title.rates else None
@@ -107,8 +123,8 @@
                          value["deployment"]["rules"]["drain_grace"], logs.watcher(self.log),
                          controller or Controller)
         self.host = Host(self.core, self.clock)
-        self.addresses = {}
-        self.titles = Titles(value["deployment"], made, self.addresses)
+        self.addresses = {}  # of what is listed, and of what is gone and may still play
+        self.titles = Titles(value["deployment"], made)
         self.core.permits = self.titles.permits
         self.pool = Pool(http["pool"])
         self.carrier = HttpCarrier(self.host, self.pool, self.addresses, http["connect"])
@@ -117,29 +133,40 @@
         self.front = Front(self.host, self.carrier, self.titles, room, self.log)
         self.server = Server(self.front.handle, http["connections"], http["header"],
                              http["header_time"] / SECOND, http["stall"] / SECOND, fault=self._fault)
-        self.list = Followed(value["list"], value["list_poll"] / SECOND, Roll(), Copy(value["cache"]),
-                             self.clock, self._list_changed, self.log)
+        names = ("file", *value["xds"]) if value["list"] else tuple(value["xds"])
+        self.listing = Listing(self.clock, self._list_changed, self.log, names, made.seed, self._playbacks_at)
+        self.core.narrow = self.listing.limited.narrow
+        self.file = Followed(value["list"], value["list_poll"] / SECOND, self.clock.of_wall,
+                             lambda lines: self.listing.whole("file", lines), self.log)
+        self.sources = {name: source(name, xds, value["controller"], self.listing, self.clock, made.seed,
+                                     self.log) for name, xds in value["xds"].items()}
         self.address, self.admin_address, self.tasks, self.stopped = None, None, [], asyncio.Event()
         self.runner = Runner(value["background"], self.log)
         self._open_catalogue(value["catalogue"])
 
-    def _list_changed(self, entries, addresses, old):
-        self.addresses.clear()
-        self.addresses.update(addresses)
-        self.titles.listed(addresses)
-        self.log.info("list", streamers=len(entries), old=old)
-        self.host.do(self.core.list_changed, entries, True, old)
+    def _list_changed(self, entries, there, gone, forgotten, old):
+        self.addresses.update(there)
+        for id in forgotten:
+            self.addresses.pop(id, None)
+        self.titles.listed(there, gone)
+        (self.log.info if old else self.log.debug)(
+            "list", changed=len(entries), streamers=len(self.titles.there), old=old)
+        self.host.do(self.core.list_changed, entries, False, old)
+
+    def _playbacks_at(self, id):
+        streamer = self.core.controller.streamers.get(id)
+        return len(streamer.playbacks) if streamer else 0
 
     def _open_catalogue(self, value):
         """Raises store.Held, store.Damaged where its folder can't be had."""
         versions, committer = self.titles.versions, None
         if value["store"]:
-            keeper = Keeper(versions)
-            committer = Committer(Store(Files(value["store"]), {STREAM: keeper}, value["last_good"]))
+            keepers = {STREAM: Keeper(versions), LISTING: self.listing.kept}
+            committer = Committer(Store(Files(value["store"]), keepers, value["last_good"]))
             for what in committer.store.dropped:
                 self.log.warning("store: dropped", what=str(what))
         self.catalogue = Catalogue(versions, committer, self.runner, self._titles_changed, self.log)
-        self.admin = Server(Admin(self.catalogue, lambda: self.addresses).handle, 64, fault=self._fault,
+        self.admin = Server(Admin(self.catalogue, lambda: self.titles.there).handle, 64, fault=self._fault,
                             body_size=BODY)
         self.source = Source(value["file"], value["poll"] / SECOND, self.catalogue, self.log, time.time)
 
@@ -155,18 +182,33 @@
         if self.value["catalogue"]["file"]:
             self.tasks.append(asyncio.ensure_future(self.source.follow()))
 
+    async def _first_list(self, kept):
+        """Waits for a source's first word, for the initial fetch time-out at most: a front that opens without
+        any streamer rejects whoever comes. With a list of an earlier run there is no need to."""
+        wait = 0.0 if kept else max(xds["first"] for xds in self.value["xds"].values()) / SECOND
+        try:
+            await asyncio.wait_for(self.listing.heard.wait(), wait)
+        except TimeoutError:
+            self.log.warning("no source has said anything yet", waited=wait, kept=kept)
+
     def _fault(self, exchange, error):
         self.log.error("fault of a front", path=exchange.path, exc_info=error)
 
     async def start(self):
         """Within a running loop: opens the front. Raises records.Wrong without any list, OSError without
         the port."""
-        self.list.begin()
+        kept = self.listing.begin(self.catalogue.committer)
+        if self.value["list"]:
+            self.file.begin(kept)
+            self.tasks.append(asyncio.ensure_future(self.file.follow()))
+        self.tasks += [asyncio.ensure_future(source.follow()) for source in self.sources.values()]
+        if self.sources and not self.listing.heard.is_set():
+            await self._first_list(kept)
         await self._first_titles()
         self.address = self.server.listen_on(self.value["http"]["listen"])
         if self.value["catalogue"]["admin"]:
             self.admin_address = self.admin.listen_on(self.value["catalogue"]["admin"])
-        self.tasks += [asyncio.ensure_future(self.list.follow()), asyncio.ensure_future(self._seconds())]
+        self.tasks.append(asyncio.ensure_future(self._seconds()))
         if self.value["ready"]:
             part = self.value["ready"] + ".part"
             with open(part, "w", encoding="utf-8") as file:
@@ -179,6 +221,9 @@
             await asyncio.sleep(1.0)
             try:
                 self.front.every_second()
+                self.listing.every_second()
+                for one in self.sources.values():
+                    await one.reader.every_second()
             except Exception as fault:  # the next second must come all the same
                 self.log.error("fault of a front", exc_info=fault)
 
@@ -204,6 +249,7 @@
         self.pool.close()
         await self.admin.drain(1.0)
         self.runner.close()
+        await self.listing.close()
         if self.catalogue.committer:
             self.catalogue.committer.close()
         self.host.stop()
--- a/terndrift/xds/session.py
+++ b/terndrift/xds/session.py
@@ -1,8 +1,10 @@
 """The two forms of a subscription, state of the world and delta: what to send for what arrives. No I/O.
 
 Both take decoded responses and hand back what is to be sent (as plain values that the codec encodes) and the
-resources that were accepted. `judge(resources)` says what is wrong with them: a response with any fault is
-refused whole (NACK with all reasons), and the last accepted one stays in force.
+resources that were accepted. A response with any fault is refused whole (NACK with all reasons), and the last
+accepted one stays in force: guards against a source that is half right, whatever broke the other half. It
+could do harm where a source can never mend one endpoint: then its good changes wait too, and the log says
+for what.
 
 Sources: the xDS protocol page of Envoy's documentation, "State of the World" and "Incremental".
 """
@@ -14,6 +16,22 @@
 TYPES = (CLUSTER, ENDPOINT)
 
 
+# Of a NACK's reasons, so many characters at most: a source logs them, and some cut a message of any length.
+MOST_SAID = 4000
+
+
+def reasons(broken):
+    """All that is wrong, in one text; what does not fit is counted."""
+    said, left = [], MOST_SAID
+    for n, what in enumerate(broken):
+        left -= len(what) + 2
+        if left < 0:
+            said.append(f"and {len(broken) - n} more")
+            break
+        said.append(what)
+    return "; ".join(said)
+
+
 @dataclass(frozen=True)
 class Send:
     """A request to the source."""
@@ -42,8 +60,7 @@
 class World:
     """State of the world. Clusters come whole; endpoints come by name, and a name left out says nothing."""
 
-    def __init__(self, judge):
-        self.judge = judge
+    def __init__(self):
         self.version = dict.fromkeys(TYPES, "")
         self.nonce = dict.fromkeys(TYPES, "")
         self.names = {CLUSTER: (), ENDPOINT: ()}
@@ -73,11 +90,11 @@
             # nothing of this type was asked for; refusing it by its own type tells the source so
             return [Send(type_url, (), "", nonce, f"type {type_url} was not asked for")], None
         self.nonce[type_url] = nonce
-        faults = [*broken, *self.judge(type_url, resources)]
         names = self.names[type_url]
-        if faults:
-            self.last[type_url] = faults
-            return [Send(type_url, names, self.version[type_url], nonce, "; ".join(faults))], None
+        if broken:
+            self.last[type_url] = broken
+            return [Send(type_url, names, self.version[type_url], nonce, reasons(broken))], None
+        self.last.pop(type_url, None)
         self.version[type_url] = version
         return ([Send(type_url, names, version, nonce)],
                 Accepted(type_url, resources, (), type_url == CLUSTER, version))
@@ -86,8 +103,7 @@
 class Delta:
     """Incremental: each resource with a version of its own, removals by name."""
 
-    def __init__(self, judge):
-        self.judge = judge
+    def __init__(self):
         self.versions = {CLUSTER: {}, ENDPOINT: {}}  # name -> version known
         self.names = {CLUSTER: (), ENDPOINT: ()}
         self.last = {}
@@ -113,10 +129,10 @@
         """`versions`: name -> version of each resource."""
         if type_url not in TYPES:
             return [Send(type_url, nonce=nonce, error=f"type {type_url} was not asked for")], None
-        faults = [*broken, *self.judge(type_url, resources)]
-        if faults:
-            self.last[type_url] = faults
-            return [Send(type_url, nonce=nonce, error="; ".join(faults))], None
+        if broken:
+            self.last[type_url] = broken
+            return [Send(type_url, nonce=nonce, error=reasons(broken))], None
+        self.last.pop(type_url, None)
         known = self.versions[type_url]
         known.update(versions or {})
         gone = tuple(name for name in removed if known.pop(name, None) is not None)
--- a/terndrift/xds/view.py
+++ b/terndrift/xds/view.py
@@ -1,88 +1,161 @@
 """What a source's resources amount to: clusters, their assignments, and the lines that differ. No I/O.
 
-Endpoints may come before their cluster and clusters may go and come back; an assignment counts while its
-cluster is there. Costs by the change: only the streamers of the assignments that changed are looked at.
+Endpoints may come before their cluster and clusters may go and come back; an assignment counts while a
+cluster follows it. Costs by the change: only the streamers of the assignments that changed are looked at.
+What a change touches may be asked for in slices, so the calls that can be long are generators.
 """
 
+import heapq
+
 from terndrift.xds import meaning
-from terndrift.xds.session import CLUSTER, ENDPOINT
+from terndrift.xds.session import CLUSTER
+from terndrift.xds.tiers import open_tiers
+
+# Streamers compared between two pauses: a ms or so.
+SLICE = 256
 
 
 class View:
-    """`of_wall`: seconds since 1970 to the service's clock."""
-
-    def __init__(self, of_wall):
-        self.of_wall, self.names = of_wall, meaning.Names()
-        self.clusters, self.assignments = {}, {}  # name -> message; name -> {id: Line}
-        self.held = {}  # id -> {cluster: Line}, of clusters that are there
-
-    def judge(self, type_url, resources):
-        """Faults of decoded resources, none applied."""
-        if type_url != ENDPOINT:
-            return [f"{name}: a cluster without a name" for name in resources if not name]
-        out = []
-        for message in resources.values():
-            out += meaning.lines(message, self.names, self.of_wall)[1]
-        return out
+    """`group`: put before a cluster's name where it is told outside of this source."""
+
+    def __init__(self):
+        self.clusters, self.assignments = {}, {}  # name -> meaning.Cluster; name -> meaning.Assignment
+        self.followers = {}  # assignment's name -> names of clusters that follow it
+        self.held = {}  # address -> {assignment's name: Line}, of those that are followed
+        self.open = {}  # assignment's name -> how many tiers of it are in use
+        self.stale, self.due = set(), {}  # assignments past their time; name -> when it goes stale
+        self.times = []  # (when, name): heap of the same
 
     def followed(self):
         """Names of the assignments that are wanted."""
-        return {message.eds_cluster_config.service_name or name for name, message in self.clusters.items()}
+        return set(self.followers)
 
-    def apply(self, accepted):
-        """(lines that are there or changed, ids that are gone) after an Accepted."""
+    def apply(self, accepted, now=0):
+        """A generator over an Accepted: yields now and then, and returns (lines that are there or changed,
+        addresses that are gone)."""
         touched = set()
         if accepted.type_url == CLUSTER:
             removed = set(accepted.removed)
             if accepted.whole:
                 removed |= self.clusters.keys() - accepted.put.keys()
-            before = self.followed()
             for name in removed:
-                self.clusters.pop(name, None)
-            self.clusters.update(accepted.put)
-            for name in before ^ self.followed():
-                touched |= self._recount(name)
+                yield from self._cluster(name, None, touched)
+            for name, cluster in accepted.put.items():
+                yield from self._cluster(name, cluster, touched)
         else:
             for name in accepted.removed:
-                touched |= self._replace(name, {})
-                self.assignments.pop(name, None)
-            for name, message in accepted.put.items():
-                touched |= self._replace(name, meaning.lines(message, self.names, self.of_wall)[0])
+                yield from self._assignment(name, None, touched, now)
+            for name, assignment in accepted.put.items():
+                yield from self._assignment(name, assignment, touched, now)
+        return self._told(touched)
+
+    def lines(self):
+        """All there is, as `apply` would tell it."""
+        return self._told(list(self.held))[0]
+
+    def limits(self):
+        """{cluster: (part to turn away, most playbacks or None)} of those that state any."""
+        out = {}
+        for name, cluster in self.clusters.items():
+            said = self.assignments.get(cluster.follows)
+            drop = said.drop if said else 0.0
+            if drop or cluster.most is not None:
+                out[name] = drop, cluster.most
+        return out
+
+    def members(self, name):
+        """Addresses of a cluster's streamers."""
+        cluster = self.clusters.get(name)
+        said = cluster and self.assignments.get(cluster.follows)
+        return set(said.lines) if said else set()
+
+    def expire(self, now):
+        """As `apply`: endpoints whose assignment has had no news for the time that it states are gone."""
+        touched = set()
+        while self.times and self.times[0][0] <= now:
+            at, name = heapq.heappop(self.times)
+            if self.due.get(name) == at:
+                del self.due[name]
+                self.stale.add(name)
+                yield from self._compare(name, touched)
+        return self._told(touched)
+
+    def _told(self, touched):
         put, gone = [], []
-        for id in touched:
-            held = self.held.get(id, {})
-            said = [held[name] for name in sorted(held)]  # whichever of them came first
-            if not said:
-                gone.append(id)
+        for address in touched:
+            held = self.held.get(address)
+            if not held:
+                gone.append(address)
                 continue
+            said = [held[name] for name in sorted(held)]  # whichever of them came first
             line = said[0]
             for other in said[1:]:
                 line = meaning.worse(line, other)
             put.append(line)
         return put, gone
 
-    def _replace(self, name, lines):
-        was = self.assignments.get(name, {})
-        self.assignments[name] = lines
-        if name not in self.followed():
-            return set()
-        touched = {id for id in was.keys() | lines.keys() if was.get(id) != lines.get(id)}
-        for id in touched:
-            self._hold(name, id, lines.get(id))
-        return touched
-
-    def _recount(self, name):
-        """A cluster came or went: its endpoints count, or no longer do."""
-        lines, there = self.assignments.get(name, {}), name in self.followed()
-        for id, line in lines.items():
-            self._hold(name, id, line if there else None)
-        return set(lines)
-
-    def _hold(self, name, id, line):
-        held = self.held.setdefault(id, {})
+    def _cluster(self, name, cluster, touched):
+        was = self.clusters.get(name)
+        if was == cluster:
+            return
+        if cluster is None:
+            del self.clusters[name]
+        else:
+            self.clusters[name] = cluster
+        for one, there in ((was, False), (cluster, True)):
+            if one is None:
+                continue
+            names = self.followers.setdefault(one.follows, set())
+            (names.add if there else names.discard)(name)
+            if not names:
+                del self.followers[one.follows]
+        for follows in {one.follows for one in (was, cluster) if one}:
+            yield from self._compare(follows, touched)
+
+    def _assignment(self, name, assignment, touched, now):
+        was = self.assignments.get(name)
+        if assignment is None:
+            self.assignments.pop(name, None)
+        else:
+            self.assignments[name] = assignment
+        self.stale.discard(name)
+        self.due.pop(name, None)
+        if assignment is not None and assignment.stale_after:
+            self.due[name] = now + assignment.stale_after
+            heapq.heappush(self.times, (self.due[name], name))
+        yield from self._compare(name, touched, was)
+
+    def _compare(self, name, touched, before=None):
+        """Holds the streamers of an assignment to what is in force of it; `before` is what it was, too."""
+        said, names = self.assignments.get(name), self.followers.get(name)
+        lines = said.lines if said is not None and names else {}
+        facts = self.clusters[min(names)].facts if names else meaning.NOTHING
+        self.open[name] = tiers = open_tiers(lines.values())
+        if not lines:
+            del self.open[name]
+        was = before.lines if before is not None else {}
+        addresses = lines.keys() | was.keys() | (said.lines.keys() if said else set())
+        for n, address in enumerate(addresses, 1):
+            found = lines.get(address)
+            line = None
+            if found is not None:
+                line = meaning.whole(found[0], found[2], facts)
+                if name in self.stale:
+                    line = meaning.replace(line, standing="gone")
+                elif found[1] > tiers and line.standing == "ready":
+                    line = meaning.replace(line, standing="draining")
+            self._hold(name, address, line, touched)
+            if n % SLICE == 0:
+                yield
+
+    def _hold(self, name, address, line, touched):
+        held = self.held.get(address, {})
+        if held.get(name) == line:
+            return
+        touched.add(address)
         if line is None:
-            held.pop(name, None)
+            del held[name]
+            if not held:
+                del self.held[address]
         else:
-            held[name] = line
-        if not held:
-            del self.held[id]
+            self.held.setdefault(address, held)[name] = line
