--- a/terndrift/audit/judge.py
+++ b/terndrift/audit/judge.py
@@ -50,17 +50,34 @@
     return any(before.at <= down <= after.at + APART for down in facts.downs[before.streamer])
 
 
-def drains(facts):
-    """Rule 3: nothing new past the grace after being told that a streamer drains or is gone."""
+def off_since(facts):
+    """A function of a try: since when its streamer had been told off to its controller without a break, or
+    None. A list in a file tells every controller; a source, each by itself, by what it sent on its stream."""
     told = defaultdict(list)
-    for n in facts.runner:
+    for n in sorted(facts.runner, key=lambda n: n.get("at", n["t"])):
         if n["what"] == "listed":
-            told[n["streamer"]].append((n["t"], n["standing"]))
-    for t in facts.tries:
-        before = [(at, standing) for at, standing in told[t.streamer] if at <= t.at]
+            told[None, n["streamer"]].append((n["t"], n["standing"]))
+        elif n["what"] == "told":
+            for id, standing in n["standings"].items():
+                told[n["controller"], int(id)].append((n["at"], standing))
+
+    def since(t):
         off = None
-        for at, standing in before:  # since when it has been off without a break
-            off = None if standing == "ready" else off or at
+        for key in ((None, t.streamer), (controller_of(t.pb), t.streamer)):
+            for at, standing in told.get(key, ()):
+                if at > t.at:
+                    break
+                off = None if standing == "ready" else off or at
+        return off
+
+    return since
+
+
+def drains(facts):
+    """Rule 3: nothing new past the grace after being told that a streamer drains or is gone."""
+    told = off_since(facts)
+    for t in facts.tries:
+        off = told(t)
         if off is not None and t.at > off + facts.told_within + facts.rules["drain_grace"]:
             yield f"{t.pb}: sent to streamer {t.streamer} {(t.at - off) / MS:.0f} ms after it was listed off"
 
--- a/terndrift/catalogue/admin.py
+++ b/terndrift/catalogue/admin.py
@@ -8,6 +8,8 @@
     POST /catalogue/rollback            {id, version}
     GET  /catalogue/history             the last changes
     GET  /catalogue/diff?from=3&to=5
+    GET  /listing                       the list in force, its sources, alarms and limits; loads heard
+    POST /listing/confirm               {source, addresses}: what it dropped in panic is gone; null: all
 """
 
 import json
@@ -33,10 +35,10 @@
 
 
 class Admin:
-    """`listed()`: ids of the streamers that the list names."""
+    """`listed()`: ids of the streamers that the list names; `listing`: a listing.service.Listing."""
 
-    def __init__(self, catalogue, listed):
-        self.catalogue, self.listed = catalogue, listed
+    def __init__(self, catalogue, listed, listing=None, loads=dict):
+        self.catalogue, self.listed, self.listing, self.loads = catalogue, listed, listing, loads
 
     async def handle(self, exchange):
         try:
@@ -54,6 +56,8 @@
 
     async def _route(self, exchange):
         parts, method = exchange.path.strip("/").split("/"), exchange.method
+        if parts[0] == "listing" and self.listing is not None and len(parts) <= 2:
+            return await self._list(exchange, parts[1:])
         if parts[0] != "catalogue" or len(parts) > 3:
             raise Bad(404, "nothing here")
         if len(parts) == 1:
@@ -101,6 +105,23 @@
         version, fresh = await self.catalogue.apply(change)
         await exchange.reply(200, {"ETag": f'"{version}"'}, data={"version": version, "new": fresh})
 
+    async def _list(self, exchange, parts):
+        if not parts:
+            self._only(exchange, "GET")
+            return await exchange.reply(200, data={**self.listing.report(), "loads": self.loads()})
+        if parts != ["confirm"]:
+            raise Bad(404, "nothing here")
+        self._only(exchange, "POST")
+        value = self._json(exchange)
+        named = value.get("source") if isinstance(value, dict) else None
+        addresses = value.get("addresses") if isinstance(value, dict) else None
+        if named not in self.listing.names:
+            raise Bad(422, f"source: found {named!r}, wanted one of {', '.join(self.listing.names)}")
+        if addresses is not None and not (isinstance(addresses, list)
+                                          and all(isinstance(a, str) for a in addresses)):
+            raise Bad(422, "addresses: a list of HOST:PORT is wanted")
+        return await exchange.reply(200, data={"gone": self.listing.confirm(named, addresses)})
+
     async def _about(self, exchange):
         v = self.catalogue.versions
         unlisted = self.catalogue.unlisted(self.listed())
--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -8,6 +8,7 @@
 
 from terndrift import deployment, logs, records, service
 from terndrift.cli import stored
+from terndrift.cli.xds import xds
 from terndrift.hints import cmcd, cmsd
 from terndrift.listing.lines import Unusable
 from terndrift.store.store import Damaged, Held
@@ -197,6 +198,7 @@
 
 cli.add_command(stored.catalogue)
 cli.add_command(stored.store)
+cli.add_command(xds)
 
 
 def main():
--- a/terndrift/http/front.py
+++ b/terndrift/http/front.py
@@ -74,6 +74,7 @@
         self.meter, self.rationed = Meter(), Rationed()
         self.relays = {}  # Relay -> None, of segments under way
         self.draining = False
+        self.passed = lambda streamer, size: None  # told what was relayed from a streamer, in bytes
         self.stall = limits.stall  # a streamer that takes longer over a segment stands still
 
     def now(self):
@@ -231,6 +232,7 @@
         try:
             await relay.run()
         finally:
+            self.passed(relay.streamer, relay.passed)
             seat.out -= 1
             seat.heard = self.now()
             del self.relays[relay]
--- a/terndrift/listing/service.py
+++ b/terndrift/listing/service.py
@@ -21,6 +21,7 @@
     def __init__(self, clock, hand, log, sources=("file",), seed=0, at=lambda id: 0):
         self.clock, self.hand, self.log = clock, hand, log
         self.merged, self.flow, self.kept, self.limited = Merged(), Flow(), Kept(), Limits(seed, at)
+        self.taps = []  # called with what came to differ, {address: Line or None}
         self.stated = {}  # source -> its limits by group, with addresses
         self.names = tuple(sources)
         for name in self.names:
@@ -40,7 +41,10 @@
                 self.merged.source(name)
                 continue
             lines = [Line(*row[:8], self.clock.of_wall_ns(row[8])) for row in rows.values()]
-            self.flow.add(self.merged.restored(name, lines))
+            changed = self.merged.restored(name, lines)
+            self.flow.add(changed)
+            for tap in self.taps:
+                tap(changed)
         found = bool(self.merged.lines)
         while self.flow.next_at(0) is not None:
             self._hand_on(True)
@@ -111,8 +115,14 @@
 
     # Handing on.
 
+    def line_of(self, id):
+        return self.merged.lines.get(self.flow.numbers.taken.get(id))
+
     def _changed(self, changed):
         self.flow.add(changed)
+        if changed:
+            for tap in self.taps:
+                tap(changed)
         self._arm()
 
     def _arm(self):
--- a/terndrift/rehearse/draw.py
+++ b/terndrift/rehearse/draw.py
@@ -17,6 +17,8 @@
     edits: list = field(default_factory=list)  # (ns, streamer id, standing, ns of its start or None)
     kills: list = field(default_factory=list)  # (ns, controller's number, ns until it starts again)
     swaps: list = field(default_factory=list)  # (ns, title, ids of its holders; None: removed)
+    churn: list = field(default_factory=list)  # (ns, kind, streamer id, what it is from then on)
+    stream_faults: list = field(default_factory=list)  # (ns, kind)
     arrivals: list = field(default_factory=list)  # dicts of viewers, in order of time
 
 
@@ -54,6 +56,7 @@
                 out.edits += [(at + lasts + late, i, "ready", at + lasts) for i in some]
     out.edits.sort(key=lambda e: e[:2])
     _swaps(out, day, chance, seconds)
+    _churn(out, day, chance, seconds)
     out.arrivals = _viewers(day, chance, rates, seconds)
     return out
 
@@ -73,6 +76,32 @@
         out.swaps.append((n * every, titles[n % len(titles)], holders))
 
 
+# What happens to the streams of a list that is followed over xDS.
+STREAM_FAULTS = ("reset", "repeat", "silent", "half invalid", "wrong type", "restart", "nobody")
+
+
+def _churn(out, day, chance, seconds):
+    """Streamers taken off the list, drained or told unhealthy for some seconds, never more than a third at
+    once; the other changes are of weights, and of the cluster that a streamer is listed in."""
+    every, ids, back = day["churn"]["every"], [s["id"] for s in out.streamers], {}
+    for n in range(int(seconds * SECOND // every) if every else 0):
+        at = n * every
+        due = [id for id, when in back.items() if when <= at]
+        if due:
+            del back[due[0]]
+            out.churn.append((at, "standing", due[0], "ready"))
+        elif chance.random() < day["churn"]["off"] and len(back) < len(ids) // 3:
+            id = chance.choice([i for i in ids if i not in back])
+            back[id] = at + int(chance.uniform(2, 5) * SECOND)
+            out.churn.append((at, "standing", id, chance.choice(("removed", "draining", "gone"))))
+        elif chance.random() < 0.8:
+            out.churn.append((at, "weight", chance.choice(ids), round(chance.uniform(0.5, 1.5), 2)))
+        else:
+            out.churn.append((at, "cluster", chance.choice(ids), chance.randrange(4)))
+    for n in range(1, int(seconds * SECOND // day["churn"]["faults"]) if every else 0):
+        out.stream_faults.append((n * day["churn"]["faults"], chance.choice(STREAM_FAULTS)))
+
+
 def _roll(out, ids, at, lasts, late):
     """One after the other: told to drain, gone after a third of its turn, back cold after two thirds."""
     turn = lasts // len(ids)
--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from terndrift import deployment, records
-from terndrift.audit import figures, judge, placements
+from terndrift.audit import figures, judge, placements, told_off
 from terndrift.http.client import Broken, Call, Pool, Unreached
+from terndrift.rehearse.churn import Churn
 from terndrift.rehearse.draw import drawn
 from terndrift.standin.fleet import write_list
 from terndrift.standin.ledger import Ledger, read
@@ -71,6 +72,7 @@
         self.drawn = drawn(day, seed, controllers, streamers, seconds)
         self.processes, self.started, self.standing = {}, {}, {}
         self.lines, self.addresses, self.admins = {}, [], {}
+        self.churn = Churn(self) if self.drawn.churn else None
 
     def path(self, name):
         return os.path.join(self.folder, name)
@@ -134,7 +136,10 @@
         for rack in racks:
             await self._appears(f"rack{rack}", self.path(f"rack{rack}.ready"))
             self.lines.update(records.load(self.path(f"rack{rack}.ready"), "list")["streamers"])
-        self._write_list()
+        if self.churn:
+            await self.churn.start()
+        else:
+            self._write_list()
         for n in range(self.controllers):
             await self._controller(n, "127.0.0.1:0")
         for n in range(self.controllers):
@@ -147,10 +152,12 @@
         value = {"deployment": deployment_text(self.day["deployment"]),
                  "controller": {"name": f"c{n}", "rank": n, "of": self.controllers,
                                 "seed": self.seed * 100 + n},
-                 "http": {"listen": listen, "drain": ns(SECOND)}, "list": "list.rec",
+                 "http": {"listen": listen, "drain": ns(SECOND)}, "list": "" if self.churn else "list.rec",
                  "list_poll": ns(LIST_POLL * SECOND), "ready": f"c{n}.ready",
                  "log": {"level": "info", "form": "json"},
                  "catalogue": {"admin": "127.0.0.1:0", "store": f"c{n}.store"}}
+        if self.churn:
+            value["xds"] = self.churn.sources(n)
         with open(self.path(f"c{n}.rec"), "w", encoding="utf-8") as file:
             file.write(written(value)[2:-1])
         await self._spawn(f"c{n}", "terndrift", "serve", self.path(f"c{n}.rec"), "--policy", self.policy)
@@ -172,6 +179,7 @@
         work = [asyncio.ensure_future(self._edits())]
         work += [asyncio.ensure_future(self._swaps(n)) for n in range(self.controllers)]
         work += [asyncio.ensure_future(self._kill(*kill)) for kill in self.drawn.kills]
+        work += [asyncio.ensure_future(w) for w in (self.churn.work() if self.churn else ())]
         await asyncio.wait_for(crowd.wait(), self.seconds + TAIL + 60)
         await asyncio.gather(*work)
 
@@ -184,6 +192,9 @@
             self.standing[id] = standing
             if started is not None:
                 self.started[id] = self.begin + started / SECOND
+            if self.churn:
+                self.churn.tell()
+                continue
             self._write_list()
             self.ledger.note("listed", streamer=id, standing=standing)
 
@@ -218,6 +229,8 @@
         for process in self.processes.values():
             if process.returncode is None:
                 process.send_signal(signal.SIGTERM)
+        if self.churn:
+            await self.churn.stop()
         for process in self.processes.values():
             try:
                 await asyncio.wait_for(process.wait(), 15)
@@ -233,7 +246,7 @@
         return {"seed": self.seed, "policy": self.policy, "controllers": self.controllers,
                 "streamers": len(self.drawn.streamers), "seconds": self.seconds,
                 **figures.report(facts, self.drawn.arrivals), **placements.report(facts),
-                **judge.report(facts)}
+                **(told_off.report(facts) if self.churn else {}), **judge.report(facts)}
 
 
 async def _post(pool, address, path, value):
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import time
+from functools import partial
 from types import SimpleNamespace
 
 from terndrift import deployment, logs, records
@@ -20,14 +21,17 @@
 from terndrift.http.client import Pool
 from terndrift.http.front import Front, Served
 from terndrift.http.server import Server
-from terndrift.listing.file import Followed
 from terndrift.listing.kept import STREAM as LISTING
-from terndrift.listing.service import Listing
 from terndrift.scheduler.runner import Runner
 from terndrift.store.commit import Committer
 from terndrift.store.files import Files
 from terndrift.store.store import Store
-from terndrift.xds.sources import FILES, check, source
+from terndrift.xds.follow import Sources
+from terndrift.xds.load import Tally, stats
+from terndrift.xds.offer import Offer
+from terndrift.xds.reporter import Reporter
+from terndrift.xds.server import Serving
+from terndrift.xds.sources import FILES, check
 
 SECOND = 1_000_000_000
 # Objects made between collections, and collections of the young before one of all. Python's own 700, 10, 10
@@ -54,6 +58,15 @@
     return value
 
 
+def both(one, other):
+    """Two watchers of the core as one."""
+    def watch(event, carried, **facts):
+        one(event, carried, **facts)
+        other(event, carried, **facts)
+
+    return watch
+
+
 class Titles:
     """What the catalogue says, as fronts and core ask for it."""
 
@@ -133,13 +146,15 @@
         self.front = Front(self.host, self.carrier, self.titles, room, self.log)
         self.server = Server(self.front.handle, http["connections"], http["header"],
                              http["header_time"] / SECOND, http["stall"] / SECOND, fault=self._fault)
-        names = ("file", *value["xds"]) if value["list"] else tuple(value["xds"])
-        self.listing = Listing(self.clock, self._list_changed, self.log, names, made.seed, self._playbacks_at)
+        self.tally = Tally(self.clock.now())
+        self.core.watch = both(self.core.watch, self.tally.watch)
+        self.front.passed = self.tally.passed
+        self.sources = Sources(value, self.clock, self._list_changed, self.log, made.seed, self._playbacks_at)
+        self.listing = self.sources.listing
         self.core.narrow = self.listing.limited.narrow
-        self.file = Followed(value["list"], value["list_poll"] / SECOND, self.clock.of_wall,
-                             lambda lines: self.listing.whole("file", lines), self.log)
-        self.sources = {name: source(name, xds, value["controller"], self.listing, self.clock, made.seed,
-                                     self.log) for name, xds in value["xds"].items()}
+        self.serving, self.offer_address = self._serving(value["offer"]), None
+        self.reporters = [Reporter(one, partial(self._loads, one), made.seed, self.log)
+                          for name, one in self.sources.xds.items() if value["xds"][name]["loads"]]
         self.address, self.admin_address, self.tasks, self.stopped = None, None, [], asyncio.Event()
         self.runner = Runner(value["background"], self.log)
         self._open_catalogue(value["catalogue"])
@@ -153,6 +168,24 @@
             "list", changed=len(entries), streamers=len(self.titles.there), old=old)
         self.host.do(self.core.list_changed, entries, False, old)
 
+    def _serving(self, value):
+        if not value["listen"]:
+            return None
+        offer = Offer(lambda at: self.clock.wall_ns(at) / SECOND, self.value["controller"]["region"],
+                      self.listing.flow.numbers.of.get)
+        serving = Serving(offer, self.log, value["loads"])
+        self.listing.taps.append(serving.changed)
+        return serving
+
+    def _loads(self, source):
+        """What playbacks used since the last report, in the clusters of that source."""
+        used, took = self.tally.take(self.clock.now())
+        line_of = self.listing.line_of
+        return stats(used, took, source.reader.view.clusters_of, line_of, self._playbacks_at)
+
+    def _loads_heard(self):
+        return self.serving.reports if self.serving else {}
+
     def _playbacks_at(self, id):
         streamer = self.core.controller.streamers.get(id)
         return len(streamer.playbacks) if streamer else 0
@@ -166,7 +199,8 @@
             for what in committer.store.dropped:
                 self.log.warning("store: dropped", what=str(what))
         self.catalogue = Catalogue(versions, committer, self.runner, self._titles_changed, self.log)
-        self.admin = Server(Admin(self.catalogue, lambda: self.titles.there).handle, 64, fault=self._fault,
+        self.admin = Server(Admin(self.catalogue, lambda: self.titles.there, self.listing,
+                                        self._loads_heard).handle, 64, fault=self._fault,
                             body_size=BODY)
         self.source = Source(value["file"], value["poll"] / SECOND, self.catalogue, self.log, time.time)
 
@@ -182,48 +216,35 @@
         if self.value["catalogue"]["file"]:
             self.tasks.append(asyncio.ensure_future(self.source.follow()))
 
-    async def _first_list(self, kept):
-        """Waits for a source's first word, for the initial fetch time-out at most: a front that opens without
-        any streamer rejects whoever comes. With a list of an earlier run there is no need to."""
-        wait = 0.0 if kept else max(xds["first"] for xds in self.value["xds"].values()) / SECOND
-        try:
-            await asyncio.wait_for(self.listing.heard.wait(), wait)
-        except TimeoutError:
-            self.log.warning("no source has said anything yet", waited=wait, kept=kept)
-
     def _fault(self, exchange, error):
         self.log.error("fault of a front", path=exchange.path, exc_info=error)
 
     async def start(self):
         """Within a running loop: opens the front. Raises records.Wrong without any list, OSError without
         the port."""
-        kept = self.listing.begin(self.catalogue.committer)
-        if self.value["list"]:
-            self.file.begin(kept)
-            self.tasks.append(asyncio.ensure_future(self.file.follow()))
-        self.tasks += [asyncio.ensure_future(source.follow()) for source in self.sources.values()]
-        if self.sources and not self.listing.heard.is_set():
-            await self._first_list(kept)
+        await self.sources.start(self.catalogue.committer)
+        self.tasks += [asyncio.ensure_future(one.follow()) for one in self.reporters]
         await self._first_titles()
         self.address = self.server.listen_on(self.value["http"]["listen"])
         if self.value["catalogue"]["admin"]:
             self.admin_address = self.admin.listen_on(self.value["catalogue"]["admin"])
+        if self.serving:
+            self.offer_address = await self.serving.start(self.value["offer"]["listen"])
         self.tasks.append(asyncio.ensure_future(self._seconds()))
         if self.value["ready"]:
             part = self.value["ready"] + ".part"
             with open(part, "w", encoding="utf-8") as file:
                 file.write("\n".join(filter(None, (self.address, self.admin_address))) + "\n")
             os.replace(part, self.value["ready"])
-        self.log.info("listening", address=self.address, admin=self.admin_address, controller=self.core.name)
+        self.log.info("listening", address=self.address, admin=self.admin_address, offer=self.offer_address,
+                      controller=self.core.name)
 
     async def _seconds(self):
         while True:
             await asyncio.sleep(1.0)
             try:
                 self.front.every_second()
-                self.listing.every_second()
-                for one in self.sources.values():
-                    await one.reader.every_second()
+                await self.sources.every_second()
             except Exception as fault:  # the next second must come all the same
                 self.log.error("fault of a front", exc_info=fault)
 
@@ -249,7 +270,9 @@
         self.pool.close()
         await self.admin.drain(1.0)
         self.runner.close()
-        await self.listing.close()
+        await self.sources.close()
+        if self.serving:
+            await self.serving.stop()
         if self.catalogue.committer:
             self.catalogue.committer.close()
         self.host.stop()
--- a/terndrift/standin/xds.py
+++ b/terndrift/standin/xds.py
@@ -9,10 +9,11 @@
 
 from terndrift.listing.lines import Line
 from terndrift.standin.ledger import Ledger
-from terndrift.xds import codec
+from terndrift.xds import codec, load
 from terndrift.xds.session import CLUSTER, ENDPOINT
 
 SECOND = 1_000_000_000
+WORST = ("ready", "draining", "gone")
 
 
 def streamer(name, id, address, rack=0, kind="box", zone="", standing="ready", weight=1.0, started=0.0):
@@ -28,7 +29,7 @@
         self.todo, self.nonces, self.node = asyncio.Queue(), 0, ""
         self.known = {CLUSTER: {}, ENDPOINT: {}}  # name -> version sent
         self.names, self.asked = set(), set()  # endpoints wanted; types asked for
-        self.sent = {}  # nonce -> (when, {streamer id: standing} that it told)
+        self.sent = {}  # nonce -> (node, when, {streamer id: standing} that it told to be off)
         self.last, self.acked, self.refused = None, 0, []
 
     async def read(self):
@@ -42,7 +43,7 @@
             self.refused.append(asked.error)
         elif asked.nonce in self.sent:
             self.acked += 1
-            self.source.told(self.node, *self.sent.pop(asked.nonce))
+            self.source.told(*self.sent.pop(asked.nonce))
         if asked.type_url not in self.known:
             return
         fresh = asked.type_url not in self.asked
@@ -100,11 +101,13 @@
     async def send(self, type_url, resources, removed=()):
         self.nonces += 1
         nonce = f"{id(self):x}-{self.nonces}"
-        told = self.source.standings(type_url, [r[0] for r in resources], removed)
-        self.sent[nonce] = time.monotonic_ns(), told
+        # what says "ready" may be acted on as soon as it is sent; what says "off" binds once it was taken
+        on, off = self.source.standings(self.node, type_url, [r[0] for r in resources], removed)
+        self.sent[nonce] = self.node, time.monotonic_ns(), off
+        self.source.told(self.node, time.monotonic_ns(), on)
         if len(self.sent) > 200:
             self.sent.pop(next(iter(self.sent)))
-        data = codec.answer(self.form, type_url, str(self.source.version), nonce, resources, removed, "stand-in")
+        data = codec.answer(self.form, type_url, str(self.source.version), nonce, resources, removed, "own")
         self.last = data
         await self.context.write(data)
 
@@ -114,9 +117,11 @@
 
     def __init__(self, ledger=None):
         self.clusters, self.facts, self.policy = {}, {}, {}  # facts: cluster -> (most, metadata)
-        self.ledger, self.version, self.mode = ledger or Ledger(""), 0, {}
+        self.ledger, self.version, self.closed = ledger or Ledger(""), 0, False
         self.streams, self.server, self.address, self.made = set(), None, None, {}
         self.refused, self.opened, self.acked = [], 0, 0
+        self.reports = []  # load reports heard
+        self.members = {}  # node -> cluster -> {streamer id: standing} as last sent
 
     async def start(self, listen="127.0.0.1:0"):
         self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
@@ -131,16 +136,18 @@
 
     def service(self, call):  # grpc.GenericRpcHandler
         form = next((f for f, method in codec.METHODS.items() if method == call.method), None)
-        if form is None:
-            return None
 
         async def handler(_, context):
-            await self._stream(context, form)
+            await (self._loads(context) if form is None else self._stream(context, form))
 
+        if form is None and call.method != load.METHOD:
+            return None
         return grpc.stream_stream_rpc_method_handler(handler)
 
     async def _stream(self, context, form):
         stream = Stream(self, context, form)
+        if self.closed:
+            return
         self.streams.add(stream)
         self.opened += 1
         try:
@@ -150,6 +157,11 @@
             self.refused += stream.refused
             self.acked += stream.acked
 
+    async def _loads(self, context):
+        await context.write(load.answer(SECOND // 5))
+        while (data := await context.read()) is not grpc.aio.EOF:
+            self.reports.append(load.asked(data)[1])
+
     # State.
 
     def changed(self, *names):
@@ -178,11 +190,21 @@
             out[name] = self.made[type_url, name]
         return out
 
-    def standings(self, type_url, names, removed):
-        """What a response with these says of streamers: {id: standing}, "gone" for what is not in it."""
-        if type_url != ENDPOINT:
-            return {}
-        return {line.id: line.standing for name in names for line in self.clusters.get(name, {}).values()}
+    def standings(self, node, type_url, names, removed):
+        """What a response with these says of streamers: ({id: "ready"}, {id: standing} of those off)."""
+        members, touched = self.members.setdefault(node, {}), set()
+        for name in removed if self.clusters.keys() >= set(names) else ():
+            touched |= members.pop(name, {}).keys()
+        if type_url == ENDPOINT:
+            for name in names:
+                touched |= members.get(name, {}).keys()
+                lines = self.clusters.get(name, {}).values()
+                members[name] = {line.id: line.standing for line in lines}
+                touched |= members[name].keys()
+        out = {id: max((m[id] for m in members.values() if id in m), key=WORST.index, default="gone")
+               for id in touched}
+        return ({id: s for id, s in out.items() if s == "ready"},
+                {id: s for id, s in out.items() if s != "ready"})
 
     def told(self, node, at, standings):
         if standings:
--- a/terndrift/xds/client.py
+++ b/terndrift/xds/client.py
@@ -36,7 +36,7 @@
         self.patience, self.tls = Patience(seed), credentials(value)
         self.streams = 0
 
-    def _channel(self):
+    def channel(self):
         options = [("grpc.max_receive_message_length", int(self.value["largest"])),
                    # channels of a process share their connections and back-offs else; ours are in `patience`
                    ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0), *KEEPALIVE]
@@ -59,7 +59,7 @@
     async def _stream(self):
         """One stream to its end; returns why it ended."""
         form, reader, first = self.reader.form, self.reader, self.value["first"] / SECOND
-        channel = self._channel()
+        channel = self.channel()
         call = channel.stream_stream(codec.METHODS[form])()
         self.streams += 1
         loop, began, got, who = asyncio.get_running_loop(), reader.taken, False, self.who
--- a/terndrift/xds/poll.py
+++ b/terndrift/xds/poll.py
@@ -59,8 +59,9 @@
         body = codec.request_json(send, self.who)
         headers = {"Content-Type": "application/json", "Content-Length": str(len(body))}
         try:
-            code, _, data = await fetch(self.pool, self.address, "POST", PATHS[send.type_url], headers, body=body,
-                                        most=int(self.value["largest"]), within=self.value["first"] / SECOND)
+            code, _, data = await fetch(
+                self.pool, self.address, "POST", PATHS[send.type_url], headers, body=body,
+                most=int(self.value["largest"]), within=self.value["first"] / SECOND)
         except (Unreached, Broken, TimeoutError) as wrong:
             return str(wrong) or type(wrong).__name__
         if code == 304:
--- a/terndrift/xds/view.py
+++ b/terndrift/xds/view.py
@@ -16,8 +16,6 @@
 
 
 class View:
-    """`group`: put before a cluster's name where it is told outside of this source."""
-
     def __init__(self):
         self.clusters, self.assignments = {}, {}  # name -> meaning.Cluster; name -> meaning.Assignment
         self.followers = {}  # assignment's name -> names of clusters that follow it
@@ -63,6 +61,10 @@
                 out[name] = drop, cluster.most
         return out
 
+    def clusters_of(self, address):
+        """Names of the clusters that list a streamer."""
+        return [name for said in self.held.get(address, ()) for name in self.followers.get(said, ())]
+
     def members(self, name):
         """Addresses of a cluster's streamers."""
         cluster = self.clusters.get(name)
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -273,7 +273,8 @@
 def test_the_wait_for_a_lost_source_doubles_and_begins_anew_once_it_brought_something():
     patience = Patience(1)
     waits = [patience.lost(False) for _ in range(9)]
-    assert all(w / 2 <= x <= w for x, w in zip(waits, (min(MOST, LEAST * 2**n) for n in range(9)), strict=True))
+    most = [min(MOST, LEAST * 2**n) for n in range(9)]
+    assert all(w / 2 <= x <= w for x, w in zip(waits, most, strict=True))
     assert patience.lost(True) <= LEAST and len({Patience(n).lost(False) for n in range(20)}) > 10
 
 
--- a/tests/test_xds_client.py
+++ b/tests/test_xds_client.py
@@ -34,9 +34,10 @@
 
     list_file = ""
 
-    def __init__(self, form="delta", **made):
+    def __init__(self, form="delta", loads=False, **made):
         super().__init__(**made)
         self.form, self.source, self.given = form, None, self.more
+        self.loads = str(loads).lower()
 
     async def serve(self, listen="127.0.0.1:0"):
         if self.source is None:
@@ -44,7 +45,7 @@
             await self.source.start()
             self.tell()
         self.more = (f'{self.given}\nxds: main: {{source: "{self.source.address}", form: "{self.form}", '
-                     f'first: 2s}}')
+                     f'first: 2s, loads: {self.loads}}}')
         await super().serve(listen)
         await until(lambda: len(self.service.listing.merged.lines) == self.streamers)
 
@@ -218,7 +219,8 @@
         self.clock = Clock()
         self.listing = Listing(self.clock, self._hand, Log(self.told), ("main",))
         value = {"source": "", "form": "delta", "clusters": "", "endpoints": "", "refresh": SECOND // 50,
-                 "first": 2 * SECOND, "largest": 16 << 20, "ca": "", "certificate": "", "key": "", **xds}
+                 "first": 2 * SECOND, "largest": 16 << 20, "ca": "", "certificate": "", "key": "",
+                 "loads": False, **xds}
         who = {"name": "c0", "region": "", "zone": ""}
         self.follower = made_source("main", value, who, self.listing, self.clock, 1, Log(self.told))
         self.reader, self.task = self.follower.reader, None
@@ -409,9 +411,10 @@
         await one.start()
         await two.start()
         told, entries, clock = [], {}, Clock()
-        listing = Listing(clock, lambda e, *_: entries.update({x.id: x for x in e}), Log(told), ("one", "two"))
+        listing = Listing(clock, lambda e, *_: entries.update({x.id: x for x in e}), Log(told),
+                          ("one", "two"))
         value = {"form": "delta", "clusters": "", "endpoints": "", "refresh": SECOND, "first": 2 * SECOND,
-                 "largest": 1 << 20, "ca": "", "certificate": "", "key": ""}
+                 "largest": 1 << 20, "ca": "", "certificate": "", "key": "", "loads": False}
         who = {"name": "c0", "region": "", "zone": ""}
         tasks = [asyncio.ensure_future(made_source(
             name, {**value, "source": s.address}, who, listing, clock, 1, Log(told)).follow())
