Decisions cost by what is in use and what changed, not by the length of the list

With 10,000 streamers listed a scan took 19 ms, every 50 ms, and a title held everywhere 111 ms a set-up: the loop was held and no list change could be cheap. Set-up counts and cells are now kept as they change, the averages look at streamers heard of or in use, a title with over 256 holders looks at 256 of them by chance (all, if none of those is ready), and streamers long gone are forgotten.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -73,13 +73,12 @@
 
 
 class Streamer:
-    def __init__(self, listed, rack, deployment):
+    def __init__(self, listed, rack, deployment, typical):
         self.listed, self.rack, self.d = listed, rack, deployment
         self.playbacks = {}  # playback -> None, in order; set-ups out included
         self.asks = deque([(0, 0.0)], maxlen=64)  # (time, own link demand from then on)
-        self.typical = 0.0  # what others ask of a streamer on the average
+        self.typical = typical  # what others ask of a streamer on the average, in a list that all share
         self.heard = deque(maxlen=2)  # (time, what others asked of its link): the last reports
-        self.count = 0  # set-ups since the server list changed
         self.shares = deque(maxlen=2)  # (time, share) of the last notes on delivery
         self.gap = 0  # trickle: least time between set-ups while it is set aside; 0: trusted
         self.next_try = 0
@@ -109,9 +108,9 @@
             return 0.0  # what is gone carries nothing of its rack's uplink
         heard = self.heard
         if not heard:
-            return self.typical
+            return self.typical[0]
         old = min(1.0, (now - heard[-1][0]) / (15 * SECOND))
-        return (1 - old) * ((heard[0][1] + heard[-1][1]) / 2) + old * self.typical
+        return (1 - old) * ((heard[0][1] + heard[-1][1]) / 2) + old * self.typical[0]
 
     def asked(self, now, at=None):
         return self.others(now) + (self.asks[-1][1] if at is None else self.own(at))
@@ -156,7 +155,9 @@
         self.streamers, self.racks, self.playbacks = {}, {}, {}
         self.open, self.stale = {}, {}  # playbacks held or trying, in order; racks with news
         self.seeded = zlib.crc32(b"%d:" % deployment.seed)
-        self.cells = {}  # cell -> its streamers, with their place in the list
+        self.cells, self.places = {}, 0  # cell -> its streamers, with their place in the list
+        self.gone, self.counts = {}, {}  # streamer -> since when; -> set-ups since the server list changed
+        self.used, self.heard, self.typical = {}, {}, [0.0]  # streamers with own playbacks; told of
         rates = deployment.ladder.rates
         self.rates = {name: [kb * plan.scale for kb in rates] for name, plan in deployment.plans.items()}
         self.steps = {name: self._steps(plan, self.rates[name]) for name, plan in deployment.plans.items()}
@@ -169,23 +170,36 @@
         self.changed = {}  # playbacks to hand back, in order
 
     def list_changed(self, now, entries, whole, old):
-        listed = {e.id for e in entries}
-        for s in self.streamers.values():
-            s.count = 0  # the paper's reset: a newcomer must not draw all until its count catches up
-            if whole and s.listed.id not in listed:
-                s.relist(replace(s.listed, standing=Standing.GONE))
+        self.counts.clear()  # the paper's reset: a newcomer must not draw all until its count catches up
+        if whole:
+            listed = {e.id for e in entries}
+            off = [s.listed for id, s in self.streamers.items() if id not in listed]
+            entries = [replace(e, standing=Standing.GONE) for e in off] + list(entries)
         for e in entries:
-            s, links = self.streamers.get(e.id), self.d.links
-            if s is None:
-                rack = self.racks.setdefault(e.rack, Rack(links.uplink_kb))
-                s = self.streamers[e.id] = Streamer(e, rack, self.d)
+            if (s := self.streamers.get(e.id)) is None:
+                rack = self.racks.setdefault(e.rack, Rack(self.d.links.uplink_kb))
+                s = self.streamers[e.id] = Streamer(e, rack, self.d, self.typical)
+                s.place = self.places = self.places + 1
+            self.cells.get(s.listed.cell, {}).pop(s.place, None)
+            self.cells.setdefault(e.cell, {})[s.place] = s
             if e.started != s.listed.started:
                 s.down, s.slot = None, None
                 s.heard.clear()
             s.relist(e)
-        self.cells.clear()
-        for n, s in enumerate(self.streamers.values()):
-            self.cells.setdefault(s.listed.cell, []).append((n, s))
+            self.gone.setdefault(s, now) if e.standing is Standing.GONE else self.gone.pop(s, None)
+        # long gone and half of all: forgotten, oldest first. Guards memory against a list of ever new names;
+        # could harm where one comes back cold under an old start, hence `cold_for`
+        while len(self.gone) > 64 + len(self.streamers) // 2:
+            s, since = next(iter(self.gone.items()))
+            if now - since < self.d.rules.cold_for:
+                break
+            del self.gone[s]
+            if s.playbacks:
+                self.gone[s] = now
+                continue
+            del self.streamers[s.listed.id], self.cells[s.listed.cell][s.place]
+            s.rack.streamers.remove(s)
+            self.heard.pop(s, None)
         return self.wake(now)
 
     def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved, rates=None):
@@ -294,6 +308,7 @@
         # a second is about the pause viewers make by themselves; less brings them back into the same jam
         pb.come_back = min(SECOND, self.d.rules.longest_advice)
         self._turn(now, pb, State.ABORTED if pb.spoilt() else State.REJECTED)
+        return True
 
     def _seat(self, now, pb):
         pb.streamer.playbacks[pb] = None
@@ -328,8 +343,7 @@
         """The least-loaded holder off the trail, at the companion's rung; False: hold."""
         plan, rules = pb.plan, self.d.rules
         if pb.tries >= rules.try_limit or pb.due - now < 20 * MS:
-            self._reject(now, pb)
-            return True
+            return self._reject(now, pb)
         # of equal ones that were never tried only the first is looked at in one moment: guards the loop
         # against a long queue with no room, whatever fills it
         alike = None if pb.trail else (plan.name, pb.title if plan.seats else None, pb.cells, pb.rates[0])
@@ -337,11 +351,13 @@
             self.draws += drawn
             return False
         before = self.draws
-        holders = sorted([x for cell in pb.cells for x in self.cells.get(cell, ())])
-        fresh = [s for _, s in holders if s.listed.standing is Standing.READY and s not in pb.trail]
+        # of very many holders some, by chance, and all if none of them will do: the least loaded of 256 is as
+        # good as that of thousands, and the loop is not held. Could harm where only a few of them have room
+        n = len(pb.cells) // 256
+        some = list(pb.cells)[int(self._chance() * n)::n] if n > 1 else pb.cells
+        fresh = self._fresh(pb, some) or self._fresh(pb, pb.cells)
         if not fresh:
-            self._reject(now, pb)  # every holder is on the trail
-            return True
+            return self._reject(now, pb)  # every holder is on the trail
         if plan.seats and self.seated(plan, pb.title) >= plan.seats:
             return self._jammed(now, alike, before)
         if pb.tries and not self._extra_left(now):
@@ -361,10 +377,13 @@
                 return self._send(now, pb, s, plan.floor)
         return self._jammed(now, alike, before)
 
+    def _fresh(self, pb, cells):
+        holders = sorted([x for cell in cells for x in self.cells.get(cell, {}).items()])
+        return [s for _, s in holders if s.listed.standing is Standing.READY and s not in pb.trail]
+
     def _jammed(self, now, alike, before):
         if alike:
-            if self.jam[0] != now:
-                self.jam = now, {}
+            self.jam = self.jam if self.jam[0] == now else (now, {})
             self.jam[1][alike] = self.draws - before
         return False
 
@@ -372,7 +391,7 @@
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
         use = {s: s.use(now) for s in able}
         tie = min(use.values(), default=0.0) + 0.05
-        return sorted(able, key=lambda s: (max(use[s], tie), s.count, use[s], self._chance()))
+        return sorted(able, key=lambda s: (max(use[s], tie), self.counts.get(s, 0), use[s], self._chance()))
 
     def seated(self, plan, title):
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
@@ -387,7 +406,7 @@
         # repeatable: room for a second try before the startup target
         usual = min(self._patience(), pb.plan.startup_target // 2) if pb.plan.repeatable else pb.due
         pb.time_out = min(pb.due - now, usual)
-        s.count += 1
+        self.counts[s] = self.counts.get(s, 0) + 1
         s.next_try, s.slot = now + s.gap, self._slot(now, s)
         self._turn(now, pb, State.TRYING)
         self._seat(now, pb)
@@ -461,6 +480,7 @@
         at = now if fresh else now - self.d.links.lag
         if link is not None and 0 <= link < 100:
             s.heard.append((now, max(0.0, link * s.limit() - s.own(at))))
+            self.heard[s] = None
         if uplink is not None and 0.05 < uplink < 100:  # what it gave, by what was asked
             # where most of the rack is unheard, a sum of guesses: there the report stands for what is asked
             rack, late = s.rack, now - 5 * SECOND
@@ -478,17 +498,19 @@
         s.rack.known, self.jam = (None, 0.0), (None, {})
         s.asks.append((now, sum([pb.rates[pb.rung] for pb in s.playbacks])))
         s.scale = sum([pb.plan.scale for pb in s.playbacks])
+        self.used.pop(s, None) if not s.playbacks else self.used.setdefault(s)
 
     def _average(self):
-        ready = [s for s in self.streamers.values() if s.listed.standing is Standing.READY]
-        told = [min(kb, s.limit()) for s in ready for _, kb in s.heard]
-        told = told or [s.own() * (self.d.controllers - 1) for s in ready]  # until then: as this
-        scale, rates = sum(s.scale for s in ready), self.d.ladder.rates
-        usual = sum(s.own() for s in ready) / scale if scale else rates[len(rates) // 2]  # unknown: middle
-        self.usual_kb = max(usual, rates[0])
-        typical = fmean(told or [0.0])
-        for s in ready:
-            s.typical, s.rack.known = typical, (None, 0.0)
+        """Looks at streamers heard of or in use alone: a list may be a hundred times as long."""
+        ready, rates = Standing.READY, self.d.ladder.rates
+        told = [min(kb, s.full) for s in self.heard if s.listed.standing is ready for _, kb in s.heard]
+        used = [s for s in sorted(self.used, key=lambda s: s.place) if s.listed.standing is ready]
+        own, scale = sum(s.own() for s in used), sum(s.scale for s in used)
+        self.usual_kb = max(own / scale if scale else rates[len(rates) // 2], rates[0])  # unknown: middle
+        others = own * (self.d.controllers - 1) / max(1, len(self.streamers) - len(self.gone))
+        self.typical[0] = fmean(told or [others])  # until some are told: as this
+        for rack in self.racks.values():
+            rack.known = None, 0.0
 
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
@@ -551,11 +573,9 @@
 
     def _steps(self, plan, rates):
         """(order, kB) of the step up from each rung: what earns most for a kB goes first."""
-        earns, out = self.d.ladder.revenue, []
-        for low, (kb, more) in enumerate(zip(rates, rates[1:], strict=False)):
-            gain = plan.revenue * (earns[low + 1] - earns[low])
-            out.append((-gain / max(more - kb, 1e-9), more - kb))
-        return out
+        earns = self.d.ladder.revenue
+        return [(-plan.revenue * (earns[low + 1] - earns[low]) / max(more - kb, 1e-9), more - kb)
+                for low, (kb, more) in enumerate(zip(rates, rates[1:], strict=False))]
 
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -20,7 +20,7 @@
     front = Front()
     front.want()
     front.list([line(9, cell=1)])
-    assert all(s.count == 0 for s in front.c.streamers.values())
+    assert not front.c.counts
 
 
 def test_a_refusal_puts_the_streamer_on_the_trail_and_the_last_one_ends_in_rejection():
@@ -226,3 +226,35 @@
         front.use(n, link=0.5)
     front.use(0, uplink=0.5)
     assert rack.asked(front.now) < 4500, "the sum of the links again, once they are heard"
+
+
+def test_streamers_that_never_come_back_are_forgotten_and_those_in_use_are_not():
+    """A list of ever new names: what is known stays bounded, and rule 4's memory is kept for `cold_for`."""
+    front = Front(streamers=1)
+    front.want()
+    held = next(iter(front.c.streamers.values()))
+    front.list([line(0, standing=Standing.GONE)])
+    for n in range(1, 400):
+        front.list([line(n, standing=Standing.READY, started=front.now)])
+        front.list([line(n, standing=Standing.GONE, started=front.now)])
+        assert n in front.c.streamers, "one that was cold just now is remembered"
+        front.now += 200 * MS
+    assert len(front.c.streamers) < 400 * 200 / 1000 * 5 and 0 in front.c.streamers and held.playbacks
+    front.now += 60 * S
+    front.list([line(999)])
+    assert len(front.c.streamers) <= 2 * 64 + 4 and sum(map(len, front.c.cells.values())) == len(
+        front.c.streamers)
+
+
+def test_of_very_many_holders_some_are_looked_at_and_all_where_none_of_those_will_do():
+    front = Front(streamers=0)
+    front.list([line(n, cell=n, standing=Standing.DRAINING if n else Standing.READY) for n in range(2000)])
+    pb = front.want(cells=2000)
+    assert pb.state is State.TRYING and pb.streamer.listed.id == 0, "the only one that is ready"
+    front = Front(streamers=0)
+    front.list([line(n, cell=n) for n in range(2000)])
+    assert len({front.want(cells=2000).streamer for n in range(60)}) == 60
+    looked = []
+    front.c._order = lambda now, able: looked.append(len(able)) or able
+    front.want(cells=2000)
+    assert looked[0] <= 300
