Long updates of a list are taken in smaller slices; pages of the list over xDS

A first list of 10,000 endpoints held the loop for 42 ms: a source's whole view was compared, and told, in one go, and 256 new streamers handed to the decisions at once.

--- a/terndrift/listing/flow.py
+++ b/terndrift/listing/flow.py
@@ -17,8 +17,8 @@
 # Least time between two handings; a change waits so long at most while others come. Under what a set-up
 # takes, so that no choice is made by older news than its own connect.
 GATHER = 10 * MS
-# Entries in one handing: one or two ms of the decisions.
-MOST = 256
+# Entries in one handing: a ms of the decisions, up to five where all of them are new.
+MOST = 128
 # Streamers gone whose number and address are kept, beside as many as are listed: what plays there goes on.
 KEPT_GONE = 256
 
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -146,15 +146,19 @@
         self.front = Front(self.host, self.carrier, self.titles, room, self.log)
         self.server = Server(self.front.handle, http["connections"], http["header"],
                              http["header_time"] / SECOND, http["stall"] / SECOND, fault=self._fault)
-        self.tally = Tally(self.clock.now())
-        self.core.watch = both(self.core.watch, self.tally.watch)
-        self.front.passed = self.tally.passed
         self.sources = Sources(value, self.clock, self._list_changed, self.log, made.seed, self._playbacks_at)
         self.listing = self.sources.listing
         self.core.narrow = self.listing.limited.narrow
         self.serving, self.offer_address = self._serving(value["offer"]), None
-        self.reporters = [Reporter(one, partial(self._loads, one), made.seed, self.log)
-                          for name, one in self.sources.xds.items() if value["xds"][name]["loads"]]
+        # one for each that is told: each covers the time since its own last report
+        tallies = [(Tally(self.clock.now()), one) for name, one in self.sources.xds.items()
+                   if value["xds"][name]["loads"]]
+        for tally, _ in tallies:
+            self.core.watch = both(self.core.watch, tally.watch)
+        if tallies:
+            self.front.passed = lambda streamer, size: [t.passed(streamer, size) for t, _ in tallies]
+        self.reporters = [Reporter(one, partial(self._loads, tally, one), made.seed, self.log)
+                          for tally, one in tallies]
         self.address, self.admin_address, self.tasks, self.stopped = None, None, [], asyncio.Event()
         self.runner = Runner(value["background"], self.log)
         self._open_catalogue(value["catalogue"])
@@ -177,9 +181,9 @@
         self.listing.taps.append(serving.changed)
         return serving
 
-    def _loads(self, source):
+    def _loads(self, tally, source):
         """What playbacks used since the last report, in the clusters of that source."""
-        used, took = self.tally.take(self.clock.now())
+        used, took = tally.take(self.clock.now())
         line_of = self.listing.line_of
         return stats(used, took, source.reader.view.clusters_of, line_of, self._playbacks_at)
 
--- a/terndrift/xds/meaning.py
+++ b/terndrift/xds/meaning.py
@@ -21,7 +21,7 @@
 PARTS = {0: 100, 1: 10_000, 2: 1_000_000}
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Facts:
     """What metadata says of a streamer; None: nothing."""
 
--- a/terndrift/xds/reader.py
+++ b/terndrift/xds/reader.py
@@ -61,7 +61,7 @@
         """All that will come has come: what it does not name is no longer there."""
         if not self.settled:
             self.settled = True
-            await self.listing.take(self.name, self.view.lines(), (), whole=True)
+            await self.listing.take(self.name, await sliced(self.view.lines()), (), whole=True)
 
     async def every_second(self):
         """Assignments whose stated time is over."""
--- a/terndrift/xds/view.py
+++ b/terndrift/xds/view.py
@@ -20,7 +20,7 @@
         self.clusters, self.assignments = {}, {}  # name -> meaning.Cluster; name -> meaning.Assignment
         self.followers = {}  # assignment's name -> names of clusters that follow it
         self.held = {}  # address -> {assignment's name: Line}, of those that are followed
-        self.open = {}  # assignment's name -> how many tiers of it are in use
+        self.terms = {}  # assignment's name -> (tiers in use, facts of its cluster, whether it is stale)
         self.stale, self.due = set(), {}  # assignments past their time; name -> when it goes stale
         self.times = []  # (when, name): heap of the same
 
@@ -40,16 +40,18 @@
                 yield from self._cluster(name, None, touched)
             for name, cluster in accepted.put.items():
                 yield from self._cluster(name, cluster, touched)
+                yield
         else:
             for name in accepted.removed:
                 yield from self._assignment(name, None, touched, now)
             for name, assignment in accepted.put.items():
                 yield from self._assignment(name, assignment, touched, now)
-        return self._told(touched)
+                yield
+        return (yield from self._told(touched))
 
     def lines(self):
-        """All there is, as `apply` would tell it."""
-        return self._told(list(self.held))[0]
+        """A generator that returns all there is, as `apply` would tell it."""
+        return (yield from self._told(list(self.held)))[0]
 
     def limits(self):
         """{cluster: (part to turn away, most playbacks or None)} of those that state any."""
@@ -80,11 +82,13 @@
                 del self.due[name]
                 self.stale.add(name)
                 yield from self._compare(name, touched)
-        return self._told(touched)
+        return (yield from self._told(touched))
 
     def _told(self, touched):
         put, gone = [], []
-        for address in touched:
+        for n, address in enumerate(touched, 1):
+            if n % SLICE == 0:
+                yield
             held = self.held.get(address)
             if not held:
                 gone.append(address)
@@ -132,11 +136,18 @@
         said, names = self.assignments.get(name), self.followers.get(name)
         lines = said.lines if said is not None and names else {}
         facts = self.clusters[min(names)].facts if names else meaning.NOTHING
-        self.open[name] = tiers = open_tiers(lines.values())
-        if not lines:
-            del self.open[name]
+        tiers = open_tiers(lines.values())
         was = before.lines if before is not None else {}
-        addresses = lines.keys() | was.keys() | (said.lines.keys() if said else set())
+        terms = tiers, facts, name in self.stale
+        if lines and self.terms.get(name) == terms and before is not None:
+            # endpoints that are as they were are the very same objects, see `meaning.assignment`
+            addresses = [a for a, found in lines.items() if was.get(a) is not found]
+            addresses += [a for a in was if a not in lines]
+        else:
+            addresses = lines.keys() | was.keys() | (said.lines.keys() if said else set())
+        self.terms[name] = terms
+        if not lines:
+            del self.terms[name]
         for n, address in enumerate(addresses, 1):
             found = lines.get(address)
             line = None
