--- a/terndrift/standin/xds.py
+++ b/terndrift/standin/xds.py
@@ -123,10 +123,11 @@
         self.reports = []  # load reports heard
         self.members = {}  # node -> cluster -> {streamer id: standing} as last sent
 
-    async def start(self, listen="127.0.0.1:0"):
+    async def start(self, listen="127.0.0.1:0", tls=None):
+        """`tls`: grpc server credentials."""
         self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
         self.server.add_generic_rpc_handlers([self])
-        port = self.server.add_insecure_port(listen)
+        port = self.server.add_secure_port(listen, tls) if tls else self.server.add_insecure_port(listen)
         self.address = f"127.0.0.1:{port}"
         await self.server.start()
         return self.address
--- a/tests/test_xds_client.py
+++ b/tests/test_xds_client.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 
+import grpc
 import pytest
+import trustme
 from test_path import NO_BREAKS
 from world import Log, World, in_world
 
@@ -447,3 +449,35 @@
             await two.stop()
 
     plainly(test)
+
+
+def test_over_tls_both_prove_who_they_are_and_a_source_of_another_authority_is_not_followed(tmp_path):
+    def written(name, data):
+        path = tmp_path / name
+        path.write_bytes(data)
+        return str(path)
+
+    ours, other = trustme.CA(), trustme.CA()
+    server, client = ours.issue_cert("127.0.0.1"), ours.issue_cert("c0")
+    chain = b"".join(c.bytes() for c in server.cert_chain_pems)
+    tls = grpc.ssl_server_credentials([(server.private_key_pem.bytes(), chain)], ours.cert_pem.bytes(), True)
+    xds = {"ca": written("ca.pem", ours.cert_pem.bytes()),
+           "certificate": written("c.pem", b"".join(c.bytes() for c in client.cert_chain_pems)),
+           "key": written("k.pem", client.private_key_pem.bytes())}
+
+    async def test():
+        source = Source()
+        source.clusters = {"a": endpoints(3)}
+        await source.start(tls=tls)
+        try:
+            async with Plain(source=source.address, **xds) as plain:
+                await until(lambda: len(plain.lines()) == 3)
+            for wrong in ({**xds, "ca": written("o.pem", other.cert_pem.bytes())},
+                          {**xds, "certificate": "", "key": ""}):
+                async with Plain(source=source.address, first=SECOND // 2, **wrong) as plain:
+                    await until(lambda plain=plain: any(f.get("why") for _, _, f in plain.told))
+                    assert not plain.lines()
+        finally:
+            await source.stop()
+
+    plainly(test)
