--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -59,7 +59,7 @@
             raise OSError(None, f"not text: {wrong}", file) from None
         kind = _kind(words)
     value = service.read(file) if kind == "front" else records.load(file, kind)
-    if kind == "front":
+    if kind == "front" and value["list"]:
         records.load(value["list"], "list")
     elif "deployment" in value:
         deployment.check(value["deployment"])
--- a/tests/test_offer.py
+++ b/tests/test_offer.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import subprocess
 import sys
 
 import grpc
@@ -12,10 +13,12 @@
 from hypothesis import strategies as st
 from test_xds import run, wall
 from test_xds_client import FORMS, SECOND, Plain, Sourced, endpoints, plainly, sourced, until
-from world import Log, in_world
+from world import DEPLOYMENT, Log, in_world
 
 from terndrift.cli.main import cli
+from terndrift.http.client import fetch
 from terndrift.listing.lines import Line
+from terndrift.standin.fleet import write_list
 from terndrift.standin.xds import Source
 from terndrift.xds import codec, load
 from terndrift.xds.offer import PART, Offer, Subscriber
@@ -270,3 +273,47 @@
             await source.stop()
 
     plainly(test)
+
+
+def test_the_merged_list_is_served_by_a_command_of_its_own_and_admin_shows_and_confirms(tmp_path):
+    rows = "".join(f'streamers: s{n}: {{id: {n}, address: "h:{n + 1}", rack: 0, kind: "box"}}\n'
+                   for n in range(8))
+    (tmp_path / "list.rec").write_text(rows)
+    (tmp_path / "front.rec").write_text(DEPLOYMENT + 'controller: name: "c0"\nlist: "list.rec"\n')
+    (tmp_path / "none.rec").write_text(DEPLOYMENT + 'controller: name: "c0"\n')
+    assert "nothing amiss" in CliRunner().invoke(cli, ["check", str(tmp_path / "front.rec")]).stdout
+    none = CliRunner().invoke(cli, ["check", str(tmp_path / "none.rec"), "--kind", "front"])
+    assert none.exit_code == 2 and "neither names where" in none.stderr
+    serve = [sys.executable, "-m", "terndrift", "xds", "serve", str(tmp_path / "front.rec")]
+    process = subprocess.Popen(serve, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    try:
+        address = process.stdout.readline().split()[1]
+        for form in FORMS:
+            found = json.loads(invoke("dump", address, "--json", "--form", form).stdout)["streamers"]
+            assert [(r["id"], r["address"]) for r in found] == [(n, f"h:{n + 1}") for n in range(8)]
+        assert invoke("diff", str(tmp_path / "list.rec"), address).exit_code == 0
+    finally:
+        process.terminate()
+        assert process.wait(20) == 0
+        process.stdout.close()
+
+
+@in_world(front='catalogue: {admin: "127.0.0.1:0", store: "c0.store"}')
+async def test_admin_shows_the_list_in_force_and_takes_the_operators_word(world):
+    lines = world.fleet.lines() | {f"x{n}": {"id": 50 + n, "address": f"127.0.0.1:{n + 1}", "rack": 0,
+                                             "kind": "box"} for n in range(9)}
+    write_list(world.path("list.rec"), lines)
+    listing, admin = world.service.listing, world.service.admin_address
+    await until(lambda: len(listing.merged.lines) == 12)
+    write_list(world.path("list.rec"), world.fleet.lines())
+    await until(lambda: len(listing.merged.sources["file"].doubted) == 9)
+    _, _, body = await fetch(world.pool, admin, "GET", "/listing")
+    said = json.loads(body)
+    assert len(said["streamers"]) == 12 and said["sources"]["file"]["doubted"] == 9 and said["alarms"]
+    for value, code in (({"source": "nobody"}, 422), ({"source": "file", "addresses": 4}, 422),
+                        ({"source": "file", "addresses": ["127.0.0.1:1"]}, 200), ({"source": "file"}, 200)):
+        data = json.dumps(value).encode()
+        headers = {"Content-Length": str(len(data))}
+        got, _, body = await fetch(world.pool, admin, "POST", "/listing/confirm", headers, body=data)
+        assert got == code, body
+    assert len(listing.merged.lines) == 3
