What a controller takes once it is up again is judged from then

Datagrams outlive the controller that they were sent to: an INVITE sent while it was down is sent again, and taken by the next run, whose clock for it begins there.

--- a/terndrift/audit/facts.py
+++ b/terndrift/audit/facts.py
@@ -111,6 +111,10 @@
         """Whether that controller was down at some time between."""
         return any(down <= until and (not up or up >= since) for down, up in self.controller_downs[address])
 
+    def up_again(self, address, at):
+        """When a controller that was down at that time came up; 0: it was up, or stayed down."""
+        return next((up for down, up in self.controller_downs[address] if down <= at < up), 0)
+
     def started_before(self, streamer, at):
         """When the streamer last started cold before then; 0: long ago."""
         ups = self.ups[streamer]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -5,7 +5,8 @@
 
 from world import in_world
 
-from terndrift.audit import placements
+from terndrift.audit import judge, placements
+from terndrift.audit.facts import Facts
 from terndrift.catalogue.titles import Title
 from terndrift.catalogue.versions import Change
 from terndrift.core.carried import Answer, Kind
@@ -200,3 +201,20 @@
     report = placements.report(world.facts())
     assert report["wrong_placements"] >= 3 and controller.playbacks
     assert await asks(world, "clip", 2) and placements.report(world.facts()) == report
+
+
+def test_what_a_controller_takes_once_it_is_up_again_counts_from_then():
+    """Datagrams outlive the controller that they were sent to; late by that clock is late."""
+    deployment = {"rules": {}, "titles": {}, "plans": {}}
+    for answered, breaks in ((9, 0), (12, 1)):
+        viewers = [{"what": "ask", "ask": "a", "visit": "v", "title": "t", "controller": "h", "t": 3,
+                    "until": 7},
+                   {"what": "answer", "ask": "a", "t": answered, "code": 200}]
+        runner = [{"what": "controller down", "t": 1, "name": "c", "address": "h"},
+                  {"what": "controller up", "t": 6, "name": "c", "address": "h"}]
+        facts = Facts(deployment, {"viewers": viewers, "runner": runner, "streamers": []}, 0.0)
+        assert len(list(judge.answers(facts))) == breaks
+    runner.clear()
+    viewers[1]["t"] = 9
+    facts = Facts(deployment, {"viewers": viewers, "runner": runner, "streamers": []}, 0.0)
+    assert len(list(judge.answers(facts))) == 1, "it was never down"
