A media server that nobody listens at is found out at once

Over UDP the decisions heard of a dead media server only after 64 T1, and kept sending calls there. Each one now has a connected socket, which hears of refused datagrams: what is out ends as broken, what can be tried elsewhere is, at once.

--- a/terndrift/sip/wire.py
+++ b/terndrift/sip/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+import socket
 
 from tornado.iostream import StreamClosedError
 from tornado.tcpserver import TCPServer
@@ -15,6 +16,8 @@
 TRIES = 50
 # Streams at once, and how long one may say nothing before it has said a whole message.
 STREAMS, IDLE = 1000, 300.0
+# Media servers with a socket of their own; over that the one not called for longest loses its.
+LINES = 512
 
 
 class Udp:
@@ -39,6 +42,47 @@
         self.wire.transport.sendto(data, self.address)
 
 
+class Line(Udp):
+    """A media server, by a connected socket: only such a one hears that nobody listens there (ICMP). What is
+    out to it then ends as broken, at once: it may have run, as nothing says which datagram was refused.
+    Guards against calls that wait 64 T1 for a server that died; could do harm where a server restarts in the
+    middle of a set-up that it would have answered after all."""
+
+    def __init__(self, wire, address):
+        super().__init__(wire, address)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.connect(address)
+        self.loop = asyncio.get_running_loop()
+        self.loop.add_reader(self.socket, self._readable)
+
+    def send(self, data):
+        try:
+            self.socket.send(data)
+        except ConnectionRefusedError:  # of an earlier one
+            self.loop.call_soon(self._refused)
+        except OSError:
+            return  # no room just now: as lost on the way, and sent again
+
+    def _readable(self):
+        try:
+            while True:
+                self.wire.take(self.socket.recv(LARGEST), self)
+        except BlockingIOError:
+            return
+        except ConnectionRefusedError:
+            self._refused()
+        except OSError:
+            return
+
+    def _refused(self):
+        self.wire.do(self.wire.bridge.broken, self)
+
+    def close(self):
+        self.loop.remove_reader(self.socket)
+        self.socket.close()
+
+
 class Tcp:
     """A caller's stream."""
 
@@ -70,7 +114,7 @@
     def __init__(self, clock, log):
         self.clock, self.log = clock, log
         self.bridge, self.transport, self.server, self.timer = None, None, None, None
-        self.streams = set()
+        self.streams, self.lines = set(), {}  # lines: address of a media server -> Line
 
     async def listen(self, listen):
         """Returns host and port: one for both transports, of the system's choice if 0. Raises OSError."""
@@ -90,8 +134,18 @@
         return host, at[1]
 
     def peer(self, address):
-        host, _, port = address.rpartition(":")
-        return Udp(self, (host, int(port)))
+        """A media server's."""
+        line = self.lines.pop(address, None)
+        if line is None:
+            host, _, port = address.rpartition(":")
+            try:
+                line = Line(self, (host, int(port)))
+            except OSError:  # an address that no socket takes: sent from our own, and lost
+                return Udp(self, (host, int(port)))
+        self.lines[address] = line  # the one used last is the last to go
+        if len(self.lines) > LINES:
+            self.lines.pop(next(iter(self.lines))).close()
+        return line
 
     def do(self, call, *args):
         call(self.clock.now(), *args)
@@ -122,9 +176,9 @@
     def datagram_received(self, data, addr):
         if len(data) <= 4 or len(data) > LARGEST:  # a keep-alive (RFC 5626)
             return
-        self._take(data, Udp(self, addr))
+        self.take(data, Udp(self, addr))
 
-    def _take(self, data, peer):
+    def take(self, data, peer):
         try:
             found = read(data)
         except Bad as bad:
@@ -145,6 +199,8 @@
             self.timer.cancel()
         if self.server is not None:
             self.server.stop()
+        for line in self.lines.values():
+            line.close()
         for stream in list(self.streams):
             stream.close()
         if self.transport is not None:
--- a/tests/test_sip_front.py
+++ b/tests/test_sip_front.py
@@ -233,3 +233,41 @@
     await world.service.close()
     await until(lambda: caller.byes == 1 and not any(r.legs for r in world.rooms))
     await world.serve()
+
+
+@calling
+async def test_a_room_that_died_is_left_at_once_and_what_may_have_run_is_not_resent(world):
+    one, other = world.rooms
+    for room, socket in zip(world.rooms, world.sockets, strict=False):
+        if room is one:
+            room.die()
+            socket.close()
+    for n in range(6):  # some of them are tried there first
+        caller = await world.caller("clip", visit=f"a{n}", seconds=0.1)
+        world.call(caller)
+        await until(lambda caller=caller: caller.state == "over")
+        assert caller.code == 200 and other.known
+    ends = [(f["streamer"], f["ending"]) for _, e, f in world.told if e == "try over"]
+    assert (one.id, "BROKEN") in ends
+    core = world.service.core
+    streamer = core.controller.streamers[one.id]
+    assert streamer.gap, "the decisions know"
+    streamer.gap, streamer.next_try = 0, 0  # as if it were trusted, and the other not
+    core.controller.streamers[other.id].next_try = 2**62
+    before = len(other.known)
+    caller = await world.caller("lesson", visit="b", abandon=1.0)
+    world.call(caller)
+    await until(lambda: caller.state == "over")
+    assert caller.code == 504 and len(other.known) == before, "paid: not sent to the other"
+
+
+@calling
+async def test_a_room_that_dies_in_mid_call_is_found_out_by_the_next_refresh(world):
+    caller = await world.caller("clip", visit="a", seconds=20)
+    world.call(caller)
+    await until(lambda: caller.state == "up")
+    one = next(n for n, r in enumerate(world.rooms) if r.up())
+    world.rooms[one].die()
+    world.sockets[one].close()
+    await until(lambda: caller.byes == 1 and not world.service.core.held)
+    assert world.service.sip.front.playing() == 0
