--- a/tests/test_sip_front.py
+++ b/tests/test_sip_front.py
@@ -1,12 +1,16 @@
 """Calls through a running controller, over datagrams: stand-in callers and media servers beside HTTP."""
 
 import asyncio
+import json
+import sys
 import time
 
+from click.testing import CliRunner
 from test_path import NO_BREAKS
 from test_xds_client import until
 from world import World, in_world
 
+from terndrift.cli.main import cli
 from terndrift.sip.message import Message, read
 from terndrift.standin.fleet import write_list
 from terndrift.standin.ledger import Ledger
@@ -271,3 +275,29 @@
     world.sockets[one].close()
     await until(lambda: caller.byes == 1 and not world.service.core.held)
     assert world.service.sip.front.playing() == 0
+
+
+@calling
+async def test_the_command_calls_and_says_what_happened(world):
+    async def called(uri):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "terndrift", "call", uri, "--seconds", "0.2",
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        out, err = await process.communicate()
+        return process.returncode, [json.loads(line) for line in out.splitlines()], err
+
+    code, lines, _ = await called(f"sip:clip@{world.service.sip_address}")
+    assert code == 0 and lines[-1] == {"what": "over", "code": 200, "retry_after": 0}
+    code, lines, _ = await called(f"sip:nothing@{world.service.sip_address}")
+    assert code == 1 and lines[-1]["code"] == 404
+    code, lines, err = await called("sip:nobody")
+    assert code == 2 and b"is not sip:TITLE@HOST:PORT" in err
+
+
+def test_a_message_is_printed_as_json_or_where_it_is_wrong():
+    good = ("OPTIONS sip:a@b SIP/2.0\nVia: SIP/2.0/UDP c;branch=z9hG4bK1\nFrom: <sip:c@c>;tag=1\n"
+            "To: <sip:a@b>\nCall-ID: 1\nCSeq: 1 OPTIONS\n\n")
+    said = json.loads(CliRunner().invoke(cli, ["sip", "parse"], input=good).stdout)
+    assert said["method"] == "OPTIONS" and said["from"]["params"] == {"tag": "1"}
+    bad = CliRunner().invoke(cli, ["sip", "parse"], input=good.replace("1 OPTIONS", "x OPTIONS"))
+    assert bad.exit_code == 1 and "CSeq: found 'x OPTIONS'" in bad.stderr and "answered 400" in bad.stderr
