--- a/terndrift/standin/phone.py
+++ b/terndrift/standin/phone.py
@@ -128,6 +128,12 @@
             self.cancel(now)
 
     def cancel(self, now):
+        waiting = self.asking.get((self.branch, "INVITE"))
+        if waiting is not None and waiting[3]:
+            # nothing has come at all: nothing is cancelled (RFC 3261, 9.1), it is only no longer asked for
+            del self.asking[self.branch, "INVITE"]
+            self.state = "over"
+            return
         self.state = "cancelling"
         out = self._message("CANCEL")
         out.headers.insert(0, ("via", self.invite.get("via")))
@@ -150,8 +156,8 @@
                 self._told(now, message)
                 self.state = "over"
             return
-        if self.state in ("asking", "cancelling"):
-            crossed = self.state == "cancelling"
+        if self.state in ("asking", "cancelling") or self.state == "over" and self.to is None:
+            crossed = self.state != "asking"
             self._told(now, message)
             self.to, self.state = message.get("to"), "up"
             self.contact = str(Name.read(message.get("contact")).uri)
