--- a/benchmarks/sip.py
+++ b/benchmarks/sip.py
@@ -16,7 +16,7 @@
 from terndrift.sip.bridge import Asked, Bridge
 from terndrift.sip.message import read
 from terndrift.sip.transaction import Times
-from terndrift.standin.phone import Caller, Room, offer
+from terndrift.standin.phone import Caller, Peer, Room, offer
 
 MS, SECOND = 1_000_000, 1_000_000_000
 T1 = 500 * MS
@@ -27,19 +27,6 @@
         pass
 
 
-class Peer:
-    reliable = False
-
-    def __init__(self, address):
-        self.address = address
-
-    def __eq__(self, other):
-        return self.address == other.address
-
-    def __hash__(self):
-        return hash(self.address)
-
-
 class User:
     """Places every call at the one room: what the stack itself costs, without the decisions."""
 
@@ -83,14 +70,19 @@
     return {"bytes": len(data), **{f"{name}_us": round(median(c), 1) for name, c in costs.items()}}
 
 
-def calls(count):
-    """Calls set up, and then hung up, in hand-driven time; our side's CPU alone is counted."""
+def made(count):
+    """A media server with room for so many calls, and our side beside it."""
     counter = itertools.count()
     room = Room("10.0.0.9:5060", Nobody(), 1, places=10 * count)
     user = User(room.address)
-    ours = user.bridge = Bridge(user, Times(T1, 8 * T1, 10 * T1), ("10.0.0.2", 5060), "<sip:10.0.0.2:5060>",
-                                lambda n: hashlib.sha256(str(next(counter)).encode()).digest()[:n],
-                                1800 * SECOND)
+    user.bridge = Bridge(user, Times(T1, 8 * T1, 10 * T1), ("10.0.0.2", 5060), "<sip:10.0.0.2:5060>",
+                         lambda n: hashlib.sha256(str(next(counter)).encode()).digest()[:n], 1800 * SECOND)
+    return room, user.bridge
+
+
+def calls(count):
+    """Calls set up, and then hung up, in hand-driven time; our side's CPU alone is counted."""
+    room, ours = made(count)
     callers = {f"10.1.{n // 250}.{n % 250}:5060": None for n in range(count)}
     for n, address in enumerate(callers):
         callers[address] = Caller(address, Nobody(), "10.0.0.2:5060", "room", f"v{n}", 900_000, 8 * SECOND,
@@ -135,12 +127,7 @@
 
 def held(count):
     """(calls that stand, their bytes in all, the bridge): what is left once their set-up is over."""
-    counter = itertools.count()
-    room = Room("10.0.0.9:5060", Nobody(), 1, places=10 * count)
-    user = User(room.address)
-    ours = user.bridge = Bridge(user, Times(T1, 8 * T1, 10 * T1), ("10.0.0.2", 5060), "<sip:10.0.0.2:5060>",
-                                lambda n: hashlib.sha256(str(next(counter)).encode()).digest()[:n],
-                                1800 * SECOND)
+    room, ours = made(count)
     now, kept = 1000 * SECOND, []
     base = tracemalloc.get_traced_memory()[0]
     used = 0
--- a/terndrift/standin/phone.py
+++ b/terndrift/standin/phone.py
@@ -16,6 +16,21 @@
 PLAYBACK = "terndrift-playback"
 
 
+class Peer:
+    """An address, as a Bridge in hand-driven time takes it."""
+
+    reliable = False
+
+    def __init__(self, address):
+        self.address = address
+
+    def __eq__(self, other):
+        return self.address == other.address
+
+    def __hash__(self):
+        return hash(self.address)
+
+
 def offer(host, bits, version=1, direction="sendrecv"):
     """A description of audio and video in `bits` a second of video."""
     return (f"v=0\r\no=- 1 {version} IN IP4 {host}\r\ns=-\r\nc=IN IP4 {host}\r\nt=0 0\r\n"
--- a/tests/sipnet.py
+++ b/tests/sipnet.py
@@ -8,25 +8,13 @@
 from terndrift.sip.bridge import Bridge
 from terndrift.sip.message import Bad, read
 from terndrift.sip.transaction import Times
+from terndrift.standin.phone import Peer
 
 MS = 1_000_000
 SECOND = 1000 * MS
 TIMES = Times(100 * MS, 800 * MS, 500 * MS)
 
 
-class Peer:
-    reliable = False
-
-    def __init__(self, address):
-        self.address = address
-
-    def __eq__(self, other):
-        return self.address == other.address
-
-    def __hash__(self):
-        return hash(self.address)
-
-
 class Notes:
     def __init__(self):
         self.notes = []
