--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -326,7 +326,12 @@
         # before anything is said to listen: who reads that may tell it to stop at once
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop)
-        await self.start()
+        starting, stopped = asyncio.ensure_future(self.start()), asyncio.ensure_future(self.stopped.wait())
+        await asyncio.wait({starting, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if not starting.done():  # told to stop while it still waited for a first list
+            starting.cancel()
+            return
+        await starting
         # what stands now stands for good: the collector need not go through it again and hold the loop up
         gc.collect()
         gc.freeze()
--- a/tests/test_xds_client.py
+++ b/tests/test_xds_client.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import subprocess
+import sys
 
 import grpc
 import pytest
 import trustme
 from test_path import NO_BREAKS
-from world import Log, World, in_world
+from world import DEPLOYMENT, Log, World, in_world
 
 from terndrift.core.host import Clock
 from terndrift.listing.service import Listing
@@ -481,3 +483,18 @@
             await source.stop()
 
     plainly(test)
+
+
+def test_told_to_stop_while_it_waits_for_a_first_list_it_stops(tmp_path):
+    (tmp_path / "front.rec").write_text(DEPLOYMENT + (
+        'controller: name: "c0"\nxds: main: {source: "127.0.0.1:1", first: 600s}\nlog: form: "json"\n'))
+    serve = subprocess.Popen([sys.executable, "-m", "terndrift", "serve", str(tmp_path / "front.rec")],
+                             stderr=subprocess.PIPE, text=True)
+    try:
+        assert any("list source" in line for line in iter(serve.stderr.readline, ""))
+        serve.terminate()
+        assert serve.wait(20) == 0
+    finally:
+        serve.kill()
+        serve.wait()
+        serve.stderr.close()
