--- a/terndrift/hints/meaning.py
+++ b/terndrift/hints/meaning.py
@@ -32,7 +32,6 @@
     top: int  # highest rung of use to the player
     time_left: int  # ns until an answer is of no use
     visit: str  # what ties its tries together; "": nothing does
-    pace: float  # bytes a second the player wants at most; 0: as the rung says
     ignored: tuple
 
 
@@ -72,4 +71,4 @@
         ignored.append(Ignored("sf", "a streaming format that is not served here"))
     if hints.get("cid", title) != title:
         ignored.append(Ignored("cid", "names another title than the path"))
-    return Asked(top, left, hints.get("sid", ""), (hints.get("rtp") or 0) * 125.0, tuple(ignored))
+    return Asked(top, left, hints.get("sid", ""), tuple(ignored))
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -40,6 +40,8 @@
 # A list of 10,000 that changes a thousand times a second has the middle ones take tens of ms all the same:
 # 7 to 65 ms in 30 s of that (benchmarks.xds), 37 to 102 with 20 and 50 of 20,000.
 COLLECT = (10_000, 5, 400)
+# A loop later than this for a timer is told: answers are given 120 ms before they are due at the latest.
+HELD = SECOND // 10
 # Titles whose cells and rates are kept worked out: what is asked for in an hour, not the whole catalogue.
 MOST_KNOWN = 10_000
 
@@ -274,11 +276,17 @@
         while True:
             await asyncio.sleep(1.0)
             try:
+                self._lateness()
                 self.front.every_second()
                 await self.sources.every_second()
             except Exception as fault:  # the next second must come all the same
                 self.log.error("fault of a front", exc_info=fault)
 
+    def _lateness(self):
+        late, self.host.late = self.host.late, 0
+        if late > HELD:
+            self.log.warning("loop held", ms=late // 1_000_000)
+
     async def drain(self):
         """Takes nothing new, lets what is awaited be answered and what plays play for the drain time."""
         self.log.info("draining", open=self.core.open, playbacks=len(self.core.held))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -318,3 +318,10 @@
     answers = await asyncio.gather(*(world.ask("first", {cmcd.SESSION: f'sid="v{n}"'}) for n in range(500)))
     assert {a[0] for a in answers} <= {200, 503, 504} and any(a[0] == 200 for a in answers)
     assert not one.fallen and world.breaks()["rules"] == NO_BREAKS
+
+
+@in_world
+async def test_a_loop_that_is_held_is_told_once(world):
+    world.service.host.late = 300_000_000
+    await until(lambda: told(world, "loop held"))
+    assert told(world, "loop held") == [{"ms": 300}] and world.service.host.late < 300_000_000
