Tidy: one order of standings, one slicer, one maker of the offer, one look at a followed file

The same order stood in three modules, the slicing loop twice, the offer was put together in the service and in the command, a file's looks were taken in three places, a Session-Expires written in four. A side now names the part it belongs to when it is made; counters and switches that nothing read are gone. Behaviour is as it was.

--- a/terndrift/catalogue/source.py
+++ b/terndrift/catalogue/source.py
@@ -46,8 +46,7 @@
     async def follow(self):
         while True:
             try:
-                stat = os.stat(self.path)
-                looks = stat.st_mtime_ns, stat.st_size, stat.st_ino
+                looks = records.looks(self.path)
             except OSError:
                 looks = None
             if looks != self.seen:
--- a/terndrift/cli/xds.py
+++ b/terndrift/cli/xds.py
@@ -14,10 +14,8 @@
 from terndrift.listing.lines import Unusable, checked
 from terndrift.listing.service import Listing
 from terndrift.xds.follow import Sources
-from terndrift.xds.offer import Offer
-from terndrift.xds.server import Serving
+from terndrift.xds.server import serving
 from terndrift.xds.sources import check, source
-from terndrift.xds.view import meaning
 
 SECOND = 1_000_000_000
 SHOWN = ("id", "address", "rack", "kind", "zone", "standing", "weight", "started", "sources")
@@ -224,8 +222,7 @@
             yield f"{address}: its id {line.id} is that of {ids[line.id]}: it would wait"
         if not line.kind:
             yield f"{address}: no kind, so that its places are those of the smallest"
-        if all(said.lines[address][2].rack is None and meaning.NOTHING.rack is None
-               for said in (view.assignments[n] for n in held)) and line.rack == 0:
+        if line.rack == 0 and all(view.assignments[n].lines[address][2].rack is None for n in held):
             yield f"{address}: no rack and no sub-zone: it shares rack 0"
 
 
@@ -272,16 +269,13 @@
     async def run():
         clock = Clock()
         sources = Sources(value, clock, lambda *_: None, log)
-        offer = Offer(lambda at: clock.wall_ns(at) / SECOND, value["controller"]["region"],
-                      sources.listing.flow.numbers.of.get)
-        serving = Serving(offer, log, int(loads * SECOND))
-        sources.listing.taps.append(serving.changed)
+        server = serving(sources.listing, clock, value["controller"]["region"], log, int(loads * SECOND))
         stop, loop = asyncio.Event(), asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         try:
             await sources.start()
-            address = await serving.start(listen)
+            address = await server.start(listen)
             click.echo(f"serving {address}")
             while not stop.is_set():
                 await sources.every_second()
@@ -290,7 +284,7 @@
                 except TimeoutError:
                     continue
         finally:
-            await serving.stop()
+            await server.stop()
             await sources.close()
 
     asyncio.run(run())
--- a/terndrift/listing/file.py
+++ b/terndrift/listing/file.py
@@ -1,7 +1,6 @@
 """A list of streamers in a records file, followed while the service runs."""
 
 import asyncio
-import os
 
 from terndrift import records
 from terndrift.listing.lines import Line, Unusable, checked
@@ -34,10 +33,9 @@
 
     def _looks(self):
         try:
-            stat = os.stat(self.path)
+            return records.looks(self.path)
         except OSError:
             return None
-        return stat.st_mtime_ns, stat.st_size, stat.st_ino
 
     def _take(self, value):
         found = checked(lines(value, self.of_wall), self.had)
--- a/terndrift/listing/lines.py
+++ b/terndrift/listing/lines.py
@@ -4,6 +4,8 @@
 
 from terndrift.interface import Listed, Standing
 
+# From what is best to what is worst: of two words on one streamer the worse is believed.
+ORDER = ("ready", "draining", "gone")
 STANDINGS = {"ready": Standing.READY, "draining": Standing.DRAINING, "gone": Standing.GONE}
 
 
@@ -27,6 +29,11 @@
     started: int
 
 
+def worst(standings):
+    """The worst of some standings; of none at all: gone."""
+    return max(standings, key=ORDER.index, default="gone")
+
+
 def checked(lines, had):
     """The lines of a whole list, or Unusable. Whatever is wrong, the old list stays in force: guards against
     a file half written, a bad edit, a source that answers with nothing. It could do harm where all streamers
--- a/terndrift/listing/merge.py
+++ b/terndrift/listing/merge.py
@@ -19,6 +19,8 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
+from terndrift.listing.lines import worst
+
 SECOND = 1_000_000_000
 # More than this part of a source's entries lost in one update is not believed at once.
 PANIC_PART = 0.5
@@ -34,8 +36,6 @@
 # Alarms kept for whoever asks.
 ALARMS = 100
 
-WORST = {"ready": 0, "draining": 1, "gone": 2}
-
 
 @dataclass
 class Source:
@@ -193,7 +193,7 @@
             (source,) = said.values()
             return source.lines[address]
         lines = [said[rank].lines[address] for rank in sorted(said)]
-        standing = max((line.standing for line in lines), key=WORST.__getitem__)
+        standing = worst(line.standing for line in lines)
         id = next((line.id for line in lines if line.id is not None), None)
         return replace(lines[0], id=id, standing=standing, started=max(line.started for line in lines))
 
--- a/terndrift/listing/service.py
+++ b/terndrift/listing/service.py
@@ -8,7 +8,7 @@
 from terndrift.listing.limits import Limits
 from terndrift.listing.lines import Line
 from terndrift.listing.merge import Merged
-from terndrift.scheduler.slices import in_slices
+from terndrift.scheduler.slices import sliced
 from terndrift.store.store import Broken
 
 SECOND = 1_000_000_000
@@ -41,10 +41,7 @@
                 self.merged.source(name)
                 continue
             lines = [Line(*row[:8], self.clock.of_wall_ns(row[8])) for row in rows.values()]
-            changed = self.merged.restored(name, lines)
-            self.flow.add(changed)
-            for tap in self.taps:
-                tap(changed)
+            self._gather(self.merged.restored(name, lines))
         found = bool(self.merged.lines)
         while self.flow.next_at(0) is not None:
             self._hand_on(True)
@@ -71,8 +68,7 @@
                    list(merged.source(name).lines) if whole else gone)
         steps = (merged.replacing(self.clock.now(), name, order, put) if whole else
                  merged.changing(self.clock.now(), name, order, put, gone))
-        async for changed in in_slices(steps):
-            self._changed(changed)
+        await sliced(map(self._changed, steps))
         self.heard.set()
 
     def limits(self, name, groups):
@@ -118,11 +114,14 @@
     def line_of(self, id):
         return self.merged.lines.get(self.flow.numbers.taken.get(id))
 
-    def _changed(self, changed):
+    def _gather(self, changed):
         self.flow.add(changed)
         if changed:
             for tap in self.taps:
                 tap(changed)
+
+    def _changed(self, changed):
+        self._gather(changed)
         self._arm()
 
     def _arm(self):
--- a/terndrift/records/__init__.py
+++ b/terndrift/records/__init__.py
@@ -6,6 +6,7 @@
 `a: b: 1` for `a: {b: 1}`, comments and `include "file"`. Quantities carry units (250ms, 40kB/s, 64KiB).
 """
 
+import os
 from importlib import resources
 
 import msgspec
@@ -13,7 +14,7 @@
 from terndrift.records.parse import read
 from terndrift.records.values import Fault, Place, plain
 
-__all__ = ["Wrong", "load", "loads"]
+__all__ = ["Wrong", "load", "loads", "looks"]
 
 
 class Wrong(ValueError):
@@ -24,6 +25,12 @@
         super().__init__("\n".join(map(str, self.faults)))
 
 
+def looks(path):
+    """What tells a file from what it was when it was last looked at. Raises OSError."""
+    stat = os.stat(path)
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
 def _open(name):
     with open(name, encoding="utf-8") as file:
         return file.read()
--- a/terndrift/rehearse/churn.py
+++ b/terndrift/rehearse/churn.py
@@ -2,7 +2,8 @@
 
 from dataclasses import replace
 
-from terndrift.standin.xds import WORST, Source, streamer
+from terndrift.listing.lines import worst
+from terndrift.standin.xds import Source, streamer
 from terndrift.xds.session import ENDPOINT
 
 
@@ -30,7 +31,7 @@
             off, edited = self.off.get(id, "ready"), r.standing.get(id, "ready")
             if off == "removed":
                 continue
-            standing = max(off, edited, key=WORST.index)
+            standing = worst((off, edited))
             clusters[f"rack-{self.cluster[id]}"][line.name] = replace(
                 line, standing=standing, started=r.started.get(id, 0.0))
         self.source.clusters = clusters
--- a/terndrift/scheduler/slices.py
+++ b/terndrift/scheduler/slices.py
@@ -18,13 +18,3 @@
         if time.thread_time() - began > HOLD:
             await asyncio.sleep(0)
             began = time.thread_time()
-
-
-async def in_slices(steps):
-    """As `sliced`, handing on what the generator yields."""
-    began = time.thread_time()
-    for found in steps:
-        yield found
-        if time.thread_time() - began > HOLD:
-            await asyncio.sleep(0)
-            began = time.thread_time()
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -29,9 +29,8 @@
 from terndrift.store.store import Store
 from terndrift.xds.follow import Sources
 from terndrift.xds.load import Tally, stats
-from terndrift.xds.offer import Offer
 from terndrift.xds.reporter import Reporter
-from terndrift.xds.server import Serving
+from terndrift.xds.server import serving
 from terndrift.xds.sources import FILES, check
 
 SECOND = 1_000_000_000
@@ -169,7 +168,10 @@
         self.sources = Sources(value, self.clock, self._list_changed, self.log, made.seed, self._playbacks_at)
         self.listing = self.sources.listing
         self.core.narrow = self.listing.limited.narrow
-        self.serving, self.offer_address = self._serving(value["offer"]), None
+        self.serving, self.offer_address = None, None
+        if value["offer"]["listen"]:
+            self.serving = serving(self.listing, self.clock, value["controller"]["region"], self.log,
+                                   value["offer"]["loads"])
         # one for each that is told: each covers the time since its own last report
         tallies = [(Tally(self.clock.now()), one) for name, one in self.sources.xds.items()
                    if value["xds"][name]["loads"]]
@@ -198,15 +200,6 @@
             "list", changed=len(entries), streamers=len(self.titles.there), old=old)
         self.host.do(self.core.list_changed, entries, False, old)
 
-    def _serving(self, value):
-        if not value["listen"]:
-            return None
-        offer = Offer(lambda at: self.clock.wall_ns(at) / SECOND, self.value["controller"]["region"],
-                      self.listing.flow.numbers.of.get)
-        serving = Serving(offer, self.log, value["loads"])
-        self.listing.taps.append(serving.changed)
-        return serving
-
     def _loads(self, tally, source):
         """What playbacks used since the last report, in the clusters of that source."""
         used, took = tally.take(self.clock.now())
--- a/terndrift/sip/bridge.py
+++ b/terndrift/sip/bridge.py
@@ -18,7 +18,7 @@
 from terndrift.sip import dialog as dialogs
 from terndrift.sip.dialog import HOPS, Dialog
 from terndrift.sip.message import Bad, Message, Uri, response
-from terndrift.sip.side import ALLOW, SECOND, Side, Stands
+from terndrift.sip.side import ALLOW, SECOND, Side, Stands, expires
 from terndrift.sip.stack import Stack
 
 # A session's least interval that is taken (RFC 4028, 5), unless the records say otherwise.
@@ -69,6 +69,7 @@
         self.state, self.side, self.leg = Asked.ASKED, None, None
         self.ok, self.wait, self.resend, self.give_up = None, 0, None, None
         self.interval, self.refreshing = 0, False
+        self.carried = None  # the user's own
 
     @property
     def invite(self):
@@ -89,13 +90,12 @@
                    ("content-type", "application/sdp")]
         if self.interval:
             who = "uas" if self.refreshing else "uac"
-            headers += [("session-expires", f"{self.interval // SECOND or 1};refresher={who}")]
+            headers.append(expires(self.interval, who))
             if not self.refreshing:
                 headers.append(("require", "timer"))
         self.ok = response(self.invite, 200, tag=self.dialog.local.tag, headers=headers, body=body)
-        self.side = Side(bridge, self.dialog, self.transaction.peer, False, bridge.contact, body,
+        self.side = Side(bridge, self, self.dialog, self.transaction.peer, False, bridge.contact, body,
                          self.invite.body)
-        self.side.part = self
         bridge.say(now, self.transaction, self.ok)
         self.wait = bridge.stack.times.t1
         self.resend = bridge.alarm(now + self.wait, self._again)
@@ -143,6 +143,7 @@
         self.state, self.transaction, self.side = Calling.CALLING, None, None
         self.cancelled, self.limit, self.code, self.answer = False, None, 0, None
         self.interval = 0
+        self.carried = self.rung = None  # the user's own
 
     def turn(self, state):
         """Every change of its state."""
@@ -203,9 +204,8 @@
                 bridge.refuse_stray(now, made, self.transaction.request.cseq[0], self.peer)  # a second one
             return
         self.answer = message
-        self.side = Side(bridge, made, self.peer, True, bridge.contact, self.transaction.request.body,
-                         message.body)
-        self.side.part = self
+        self.side = Side(bridge, self, made, self.peer, True, bridge.contact,
+                         self.transaction.request.body, message.body)
         bridge.plain(made.request("ACK", self.transaction.request.cseq[0]), self.peer)
         if self.state is Calling.CANCELLING:  # CANCEL and 200 crossed: it stands, and is ended at once (15)
             self.side.end(now, "called off")
@@ -327,7 +327,7 @@
                            ("content-type", "application/sdp"), *[(n, str(v)) for n, v in headers]]
         if self.session:
             leg.interval = self.session
-            message.headers.append(("session-expires", f"{self.session // SECOND or 1};refresher=uac"))
+            message.headers.append(expires(self.session, "uac"))
         message.body = body
         # known before its events come: an error of the transport may be told at once
         leg.transaction, events = self.stack.send(now, message, peer, leg)
@@ -371,7 +371,7 @@
 
     def _on_ack(self, now, transaction, message):
         side = self.sides.get(dialogs.key_of(message))
-        if side is not None and isinstance(getattr(side, "part", None), Call):
+        if side is not None and isinstance(side.part, Call):
             side.part.acked(now)
 
     def _on_cancel(self, now, transaction, message):
--- a/terndrift/sip/front.py
+++ b/terndrift/sip/front.py
@@ -6,7 +6,7 @@
 from terndrift.core.carried import Kind, Stage, Wanted
 from terndrift.interface import Ending
 from terndrift.sip import sdp
-from terndrift.sip.bridge import Asked, Calling
+from terndrift.sip.bridge import Asked, Call, Calling
 from terndrift.sip.dialog import Dialog
 from terndrift.sip.message import Name, Uri
 from terndrift.sip.side import Stands
@@ -69,7 +69,7 @@
         left = found.abandon
         if (seconds := call.invite.number("expires")) is not None:
             left = min(left, seconds * SECOND)
-        call.offered, call.found, call.version = offered, found, 1
+        call.offered, call.version = offered, 1
         call.carried = self.host.do(core.want, Wanted(
             found.plan, title, self.titles.rooms(title), fits[-1], left, found.length, found.rates, call),
             self,
@@ -93,9 +93,8 @@
 
     def left(self, now, call):
         """Its caller cancelled, hung up, or is lost."""
-        carried = getattr(call, "carried", None)
-        if carried is not None:
-            self.host.do(self.host.core.left, carried)
+        if call.carried is not None:
+            self.host.do(self.host.core.left, call.carried)
         if call in self.entered:
             self.gate.leave(now, self.entered.pop(call))
 
@@ -134,7 +133,7 @@
         leg = self.legs.get(carried)
         if leg is None or leg.side is None or carried.stage is not Stage.PLAYING:
             return
-        call, before = carried.wanted.about, getattr(leg, "rung", rung)
+        call, before = carried.wanted.about, leg.rung
 
         def done(now, code, body):
             if 200 <= code < 300:
@@ -179,14 +178,13 @@
     def passed_on(self, side, body):
         """A caller's new offer goes to its media server within the rung in force; the other way as it is."""
         part = side.part
-        carried = getattr(part, "carried", None)
-        if carried is None or getattr(part, "leg", None) is None or side is not part.side:
+        if not isinstance(part, Call) or part.carried is None or part.leg is None:
             return body
         try:
             part.offered = sdp.read(body)
         except sdp.Unusable:
             return body
-        return self._offer(part, carried, carried.rung)
+        return self._offer(part, part.carried, part.carried.rung)
 
     def stray(self, now, message, number):
         """A media server answers a call that was given up as silent: it is taken, and ended."""
--- a/terndrift/sip/service.py
+++ b/terndrift/sip/service.py
@@ -1,13 +1,14 @@
 """The SIP front as the service opens it, from its record."""
 
 import os
+import secrets
 
 from terndrift.core.gate import Gate
 from terndrift.sip.bridge import Bridge
 from terndrift.sip.digest import Guard
 from terndrift.sip.front import SipFront
 from terndrift.sip.transaction import Times
-from terndrift.sip.wire import Wire, draw
+from terndrift.sip.wire import Wire
 
 
 class Sip:
@@ -28,15 +29,11 @@
         t1, value = self.value["t1"], self.value
         host, port = await self.wire.listen(value["listen"])
         self.wire.bridge = self.front.bridge = Bridge(
-            self.front, Times(t1, 8 * t1, 10 * t1), (host, port), f"<sip:{host}:{port}>", draw,
-            value["session"], self._gate, value["least_session"])
-        self.host.after = self._after
+            self.front, Times(t1, 8 * t1, 10 * t1), (host, port), f"<sip:{host}:{port}>",
+            secrets.token_bytes, value["session"], self._gate, value["least_session"])
+        self.host.after = self.wire.flush  # what the core decided may have left something to be sent
         return f"{host}:{port}"
 
-    def _after(self):
-        """What the core decided may have left something to be sent."""
-        self.wire.flush()
-
     def _gate(self, now, transaction):
         if self.guard is None:
             return None
--- a/terndrift/sip/side.py
+++ b/terndrift/sip/side.py
@@ -24,6 +24,11 @@
 ROUTES = {Stands.UP: (Stands.ENDING, Stands.OVER), Stands.ENDING: (Stands.OVER,), Stands.OVER: ()}
 
 
+def expires(interval, refresher):
+    """A Session-Expires header; `refresher`: uac or uas of the request that it belongs to."""
+    return "session-expires", f"{interval // SECOND or 1};refresher={refresher}"
+
+
 class Offer:
     """An offer of ours that is out, or waits to be sent again."""
 
@@ -32,11 +37,11 @@
 
 
 class Side:
-    """`bridge` is told `offered(now, side, transaction, message)` and `ended(now, side, why)`. `owner`:
-    whether the Call-ID is ours."""
+    """`bridge` is told `offered(now, side, transaction, message)` and `ended(now, side, why)`. `part`: the
+    Call or Leg that it is the side of. `owner`: whether the Call-ID is ours."""
 
-    def __init__(self, bridge, dialog, peer, owner, contact, local=b"", remote=b""):
-        self.bridge, self.dialog, self.peer, self.owner = bridge, dialog, peer, owner
+    def __init__(self, bridge, part, dialog, peer, owner, contact, local=b"", remote=b""):
+        self.bridge, self.part, self.dialog, self.peer, self.owner = bridge, part, dialog, peer, owner
         self.contact, self.local, self.remote = contact, local, remote  # descriptions sent and heard last
         self.stands, self.offer, self.next_offer = Stands.UP, None, None
         self.serving = None  # the transaction of an offer of theirs that awaits its answer
@@ -78,7 +83,7 @@
             return []
         # in a request the one who sends it is its uac
         who = "uac" if self.refreshing else "uas"
-        return [("session-expires", f"{self.interval // SECOND or 1};refresher={who}")]
+        return [expires(self.interval, who)]
 
     # Offers of ours.
 
@@ -182,8 +187,7 @@
             self.local = body
         headers = [("contact", self.contact), ("allow", ALLOW), ("supported", "timer")]
         if self.interval:
-            headers.append(("session-expires", f"{self.interval // SECOND or 1};refresher="
-                                               f"{'uas' if self.refreshing else 'uac'}"))
+            headers.append(expires(self.interval, "uas" if self.refreshing else "uac"))
         if body:
             headers.append(("content-type", "application/sdp"))
         self.say(now, transaction, 200, headers, body)
@@ -203,7 +207,6 @@
         if self.stands is not Stands.UP:
             return
         self._turn(Stands.ENDING)
-        self.why = why
         self.bridge.send(now, self.dialog.request("BYE"), self.peer, self)
 
     def _over(self, now, why):
--- a/terndrift/sip/wire.py
+++ b/terndrift/sip/wire.py
@@ -1,7 +1,6 @@
 """SIP over UDP and TCP, on the event loop: bytes to the bridge and back, and its alarms."""
 
 import asyncio
-import secrets
 import socket
 
 from tornado.iostream import StreamClosedError
@@ -20,18 +19,26 @@
 LINES = 512
 
 
-class Udp:
-    """Where datagrams come from or go to."""
+class Peer:
+    """`address`: (host, port, ...)"""
 
-    reliable = False
-
-    def __init__(self, wire, address):
-        self.wire, self.address = wire, address
+    def __init__(self, address):
+        self.address = address
 
     @property
     def source(self):
         return self.address[0]
 
+
+class Udp(Peer):
+    """Where datagrams come from or go to."""
+
+    reliable = False
+
+    def __init__(self, wire, address):
+        super().__init__(address)
+        self.wire = wire
+
     def __eq__(self, other):
         return isinstance(other, Udp) and self.address == other.address
 
@@ -83,17 +90,14 @@
         self.socket.close()
 
 
-class Tcp:
+class Tcp(Peer):
     """A caller's stream."""
 
     reliable = True
 
     def __init__(self, stream, address):
-        self.stream, self.address = stream, address
-
-    @property
-    def source(self):
-        return self.address[0]
+        super().__init__(address)
+        self.stream = stream
 
     def send(self, data):
         if not self.stream.closed():
@@ -228,7 +232,3 @@
         finally:
             wire.streams.discard(stream)
             wire.do(wire.bridge.broken, peer)
-
-
-def draw(n):
-    return secrets.token_bytes(n)
--- a/terndrift/standin/xds.py
+++ b/terndrift/standin/xds.py
@@ -7,13 +7,12 @@
 
 import grpc
 
-from terndrift.listing.lines import Line
+from terndrift.listing.lines import Line, worst
 from terndrift.standin.ledger import Ledger
 from terndrift.xds import codec, load
 from terndrift.xds.session import CLUSTER, ENDPOINT
 
 SECOND = 1_000_000_000
-WORST = ("ready", "draining", "gone")
 
 
 def streamer(name, id, address, rack=0, kind="box", zone="", standing="ready", weight=1.0, started=0.0):
@@ -30,7 +29,7 @@
         self.known = {CLUSTER: {}, ENDPOINT: {}}  # name -> version sent
         self.names, self.asked = set(), set()  # endpoints wanted; types asked for
         self.sent = {}  # nonce -> (node, when, {streamer id: standing} that it told to be off)
-        self.last, self.acked, self.refused = None, 0, []
+        self.last, self.refused = None, []
 
     async def read(self):
         while (data := await self.context.read()) is not grpc.aio.EOF:
@@ -42,7 +41,6 @@
         if asked.error:
             self.refused.append(asked.error)
         elif asked.nonce in self.sent:
-            self.acked += 1
             self.source.told(*self.sent.pop(asked.nonce))
         if asked.type_url not in self.known:
             return
@@ -116,10 +114,10 @@
     """`clusters`: name -> {streamer's name: Line}; change it, then call `changed`."""
 
     def __init__(self, ledger=None):
-        self.clusters, self.facts, self.policy = {}, {}, {}  # facts: cluster -> (most, metadata)
-        self.ledger, self.version, self.closed = ledger or Ledger(""), 0, False
+        self.clusters = {}
+        self.ledger, self.version = ledger or Ledger(""), 0
         self.streams, self.server, self.address, self.made = set(), None, None, {}
-        self.refused, self.opened, self.acked = [], 0, 0
+        self.refused, self.opened = [], 0
         self.reports = []  # load reports heard
         self.members = {}  # node -> cluster -> {streamer id: standing} as last sent
 
@@ -147,8 +145,6 @@
 
     async def _stream(self, context, form):
         stream = Stream(self, context, form)
-        if self.closed:
-            return
         self.streams.add(stream)
         self.opened += 1
         try:
@@ -156,7 +152,6 @@
         finally:
             self.streams.discard(stream)
             self.refused += stream.refused
-            self.acked += stream.acked
 
     async def _loads(self, context):
         await context.write(load.answer(SECOND // 5))
@@ -183,10 +178,9 @@
         for name, lines in self.clusters.items():
             if (type_url, name) not in self.made:
                 if type_url == CLUSTER:
-                    data = codec.cluster_bytes(name, *self.facts.get(name, ()))
+                    data = codec.cluster_bytes(name)
                 else:
-                    data = codec.assignment_bytes(name, lines.values(), float, "here",
-                                                  **self.policy.get(name, {}))
+                    data = codec.assignment_bytes(name, lines.values(), float, "here")
                 self.made[type_url, name] = codec.mark(data), data
             out[name] = self.made[type_url, name]
         return out
@@ -194,7 +188,7 @@
     def standings(self, node, type_url, names, removed):
         """What a response with these says of streamers: ({id: "ready"}, {id: standing} of those off)."""
         members, touched = self.members.setdefault(node, {}), set()
-        for name in removed if self.clusters.keys() >= set(names) else ():
+        for name in removed:
             touched |= members.pop(name, {}).keys()
         if type_url == ENDPOINT:
             for name in names:
@@ -202,8 +196,7 @@
                 lines = self.clusters.get(name, {}).values()
                 members[name] = {line.id: line.standing for line in lines}
                 touched |= members[name].keys()
-        out = {id: max((m[id] for m in members.values() if id in m), key=WORST.index, default="gone")
-               for id in touched}
+        out = {id: worst(m[id] for m in members.values() if id in m) for id in touched}
         return ({id: s for id, s in out.items() if s == "ready"},
                 {id: s for id, s in out.items() if s != "ready"})
 
--- a/terndrift/xds/client.py
+++ b/terndrift/xds/client.py
@@ -34,7 +34,6 @@
     def __init__(self, value, who, reader, seed, log):
         self.value, self.who, self.reader, self.log = value, who, reader, log
         self.patience, self.tls = Patience(seed), credentials(value)
-        self.streams = 0
 
     def channel(self):
         options = [("grpc.max_receive_message_length", int(self.value["largest"])),
@@ -61,7 +60,6 @@
         form, reader, first = self.reader.form, self.reader, self.value["first"] / SECOND
         channel = self.channel()
         call = channel.stream_stream(codec.METHODS[form])()
-        self.streams += 1
         loop, began, got, who = asyncio.get_running_loop(), reader.taken, False, self.who
         until = loop.time() + first
         try:
@@ -81,7 +79,6 @@
                     return f"nothing taken within {first:.1f} s"
                 if data is grpc.aio.EOF:
                     return f"ended by the source: {(await call.code()).name} {await call.details() or ''}"
-                reader.bytes += len(data)
                 try:
                     found = codec.response(data, form)
                 except codec.Unreadable as wrong:
--- a/terndrift/xds/codec.py
+++ b/terndrift/xds/codec.py
@@ -170,6 +170,12 @@
     return json_format.MessageToJson(out, indent=None).encode()
 
 
+def put_address(socket_address, address):
+    """`address` HOST:PORT, IPv6 in brackets, as a SocketAddress has it."""
+    host, _, port = address.rpartition(":")
+    socket_address.address, socket_address.port_value = host.strip("[]"), int(port)
+
+
 HEALTH = {"ready": 1, "draining": 3, "gone": 2}
 
 
@@ -195,9 +201,7 @@
             place.locality.region, place.locality.zone = region, line.zone
             place.load_balancing_weight.value = 1
         one = place.lb_endpoints.add(health_status=HEALTH[line.standing])
-        host, _, port = line.address.rpartition(":")
-        one.endpoint.address.socket_address.address = host.strip("[]")
-        one.endpoint.address.socket_address.port_value = int(port)
+        put_address(one.endpoint.address.socket_address, line.address)
         one.endpoint.hostname = line.name
         one.load_balancing_weight.value = max(1, round(line.weight * 100))
         facts = {"rack": line.rack, "weight": line.weight}
--- a/terndrift/xds/load.py
+++ b/terndrift/xds/load.py
@@ -11,7 +11,7 @@
 from envoy.service.load_stats.v3 import lrs_pb2 as wire
 from google.protobuf.message import DecodeError
 
-from terndrift.xds.codec import Unreadable
+from terndrift.xds.codec import Unreadable, put_address
 
 SECOND = 1_000_000_000
 METHOD = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
@@ -77,9 +77,7 @@
                 place = places[name, line.zone] = out[name].upstream_locality_stats.add()
                 place.locality.zone = line.zone
             at = place.upstream_endpoint_stats.add()
-            host, _, port = line.address.rpartition(":")
-            at.address.socket_address.address = host.strip("[]")
-            at.address.socket_address.port_value = int(port)
+            put_address(at.address.socket_address, line.address)
             for whole in (place, at):
                 whole.total_issued_requests += one.issued
                 whole.total_successful_requests += one.well
--- a/terndrift/xds/meaning.py
+++ b/terndrift/xds/meaning.py
@@ -8,13 +8,12 @@
 import zlib
 from dataclasses import dataclass, field, replace
 
-from terndrift.listing.lines import Line
+from terndrift.listing.lines import Line, worst
 
 SECOND = 1_000_000_000
 METADATA = "terndrift"
 # envoy.config.core.v3.HealthStatus: UNKNOWN, HEALTHY, UNHEALTHY, DRAINING, TIMEOUT, DEGRADED
 STANDING = {0: "ready", 1: "ready", 2: "gone", 3: "draining", 4: "gone", 5: "draining"}
-ORDER = ("ready", "draining", "gone")
 # Endpoints read between two pauses: a ms or two of work.
 SLICE = 128
 # Parts of a drop: envoy.type.v3.FractionalPercent's HUNDRED, TEN_THOUSAND, MILLION
@@ -164,5 +163,4 @@
 
 def worse(a, b):
     """One address listed twice, `a` first: the worse standing and the newer start of the two count."""
-    standing = max(a.standing, b.standing, key=ORDER.index)
-    return replace(a, standing=standing, started=max(a.started, b.started))
+    return replace(a, standing=worst((a.standing, b.standing)), started=max(a.started, b.started))
--- a/terndrift/xds/poll.py
+++ b/terndrift/xds/poll.py
@@ -1,10 +1,10 @@
 """The two forms without a stream: JSON asked for over HTTP now and then, and files as Envoy's path source."""
 
 import asyncio
-import os
 import zlib
 from urllib.parse import urlsplit
 
+from terndrift import records
 from terndrift.http.client import Broken, Pool, Unreached, fetch
 from terndrift.scheduler.slices import sliced
 from terndrift.xds import codec
@@ -94,8 +94,7 @@
         while True:
             for type_url, path in self.files:
                 try:
-                    stat = os.stat(path)
-                    looks = stat.st_mtime_ns, stat.st_size, stat.st_ino
+                    looks = records.looks(path)
                 except OSError as wrong:
                     self.reader.listing.reached(self.reader.name, False, f"{path}: {wrong.strerror}")
                     continue
--- a/terndrift/xds/reader.py
+++ b/terndrift/xds/reader.py
@@ -17,7 +17,7 @@
         self.view = View()
         # until all that was asked for has come once, what an earlier run had kept is added to, not replaced
         self.settled = False
-        self.taken = self.refused = self.bytes = 0
+        self.taken = self.refused = 0
         self.stated = {}  # limits told last
 
     async def arrived(self, found):
--- a/terndrift/xds/server.py
+++ b/terndrift/xds/server.py
@@ -6,7 +6,7 @@
 
 from terndrift.scheduler.slices import sliced
 from terndrift.xds import codec, load
-from terndrift.xds.offer import Subscriber
+from terndrift.xds.offer import Offer, Subscriber
 
 SECOND = 1_000_000_000
 # Streams at once; one more is told to come back later. A fleet's Envoys each hold one or two.
@@ -19,13 +19,20 @@
 GATHER = 0.01
 
 
+def serving(listing, clock, region, log, every):
+    """What serves a listing.service.Listing, not yet started."""
+    offer = Offer(lambda at: clock.wall_ns(at) / SECOND, region, listing.flow.numbers.of.get)
+    made = Serving(offer, log, every)
+    listing.taps.append(made.changed)
+    return made
+
+
 class Serving:
     """`offer`: what is served; `every`: ns between load reports."""
 
     def __init__(self, offer, log, every=5 * SECOND):
         self.offer, self.log, self.every = offer, log, every
         self.streams, self.server, self.reports = {}, None, {}  # Subscriber -> Event; node -> its last report
-        self.refused = 0
 
     async def start(self, listen):
         self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0),
@@ -90,7 +97,6 @@
             while (data := await context.read()) is not grpc.aio.EOF:
                 asked = codec.asked(data, subscriber.form)
                 if asked.error:
-                    self.refused += 1
                     self.log.error("update refused by a subscriber", node=subscriber.node, why=asked.error)
                 why = subscriber.heard(asked, self.offer)
                 if why:
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -7,8 +7,8 @@
 from terndrift.interface import Standing
 from terndrift.listing.flow import GATHER, KEPT_GONE, MOST, Flow
 from terndrift.listing.kept import Kept, records
-from terndrift.listing.lines import Line, Unusable, checked
-from terndrift.listing.merge import CONFIRM, SECOND, SLICE, WORST, Merged
+from terndrift.listing.lines import ORDER, Line, Unusable, checked
+from terndrift.listing.merge import CONFIRM, SECOND, SLICE, Merged
 
 
 def line(n, standing="ready", started=0, rack=0, id=None):
@@ -47,7 +47,7 @@
             got = merged.lines.get(f"h:{n}")
             assert (got is None) == (not lines)
             if lines:
-                assert WORST[got.standing] == max(WORST[x.standing] for x in lines)
+                assert ORDER.index(got.standing) == max(ORDER.index(x.standing) for x in lines)
                 assert got.started == max(x.started for x in lines)
         after = {i: x for i, x in {**before, **changed}.items() if x is not None}
         assert after == merged.lines, "what changed is told, and nothing else"
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -226,14 +226,8 @@
 
 @in_world
 async def test_the_list_changes_under_load_and_a_bad_one_is_passed_over(world):
-    async def load(name):
-        n = 0
-        while not done:
-            n += 1
-            await world.player("clip", f"{name}{n}", seconds=0.2).watch()
-
     done = []
-    tasks = [asyncio.ensure_future(load(name)) for name in "abc"]
+    tasks = [asyncio.ensure_future(world.load(name, done)) for name in "abc"]
     world.write_list(s0="draining")
     await world.listed()
     await asyncio.sleep(0.8)
--- a/tests/test_xds_client.py
+++ b/tests/test_xds_client.py
@@ -107,14 +107,8 @@
 @pytest.mark.parametrize("form", FORMS)
 def test_taken_back_under_load_while_set_ups_are_out_and_while_it_plays(form):
     async def test(world):
-        async def load(name):
-            n = 0
-            while not done:
-                n += 1
-                await world.player("clip", f"{name}{n}", seconds=0.2).watch()
-
         done = []
-        tasks = [asyncio.ensure_future(load(name)) for name in "abcdef"]
+        tasks = [asyncio.ensure_future(world.load(name, done)) for name in "abcdef"]
         try:
             for n, state in enumerate((None, "draining") if form == "delta" else ("gone", None)):
                 one = f"s{n % 3}"
--- a/tests/world.py
+++ b/tests/world.py
@@ -108,6 +108,13 @@
         abandon = self.service.value["deployment"]["plans"][plan]["abandon"] / 1e9
         return Player(lambda: self.address, title, self.seen, self.pool, visit, plan, abandon, **more)
 
+    async def load(self, name, done):
+        """Viewers of a short title, one after the other, until there is something in `done`."""
+        n = 0
+        while not done:
+            n += 1
+            await self.player("clip", f"{name}{n}", seconds=0.2).watch()
+
     def raw(self, data):
         """A socket that has sent `data`."""
         host, _, port = self.address.rpartition(":")
