--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -338,4 +338,9 @@
         gc.freeze()
         gc.set_threshold(*COLLECT)
         await self.stopped.wait()
+        # a signal that comes while the process goes down must not be told as its death by that signal: loop
+        # and interpreter would put back the system's own way with it as they close, unless it is ignored
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
         self.log.info("stopped")
