--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -4,16 +4,17 @@
 import binascii
 from dataclasses import replace
 
+from terndrift import terms
 from terndrift.adapter import codec
-from terndrift.adapter.codec import Malformed, number, text, whole
 from terndrift.decide import Controller, State
+from terndrift.terms import Malformed, number, text, whole
 
 
 class Instance:
     """One controller, and what the wire has been told of its playbacks."""
 
     def __init__(self, settings, now):
-        self.deployment, self.report_names, (self.cells, self.racks) = codec.deployment(settings)
+        self.deployment, self.report_names, self.layout = terms.deployment(settings)
         self.controller = Controller(self.deployment, now)
         self.told = {}  # playback id -> [tries, rung] as last sent
         self.ring_at = None
@@ -94,7 +95,7 @@
         table = whole(f, "table")
         if table not in self.lists:
             raise Malformed(f"no directory {table}")
-        entries = [replace(e, rack=e.cell % inst.racks) for e in self.lists[table]]
+        entries = [replace(e, rack=inst.layout.rack(e.cell)) for e in self.lists[table]]
         return inst.controller.list_changed(now, entries, how != 0, how == 2)
 
     def asked(self, inst, now, f):
@@ -107,7 +108,7 @@
         first = int(number(f, "start_cell", 0))
         return dict(
             id=text(f, "corr"), plan=plan, title=f.get("title", ""),
-            cells=frozenset((first + j) % inst.cells for j in range(int(number(f, "spread", 0)))), top=top,
+            cells=inst.layout.holders(first, int(number(f, "spread", 0))), top=top,
             time_left=whole(f, "expires_in_ns"), hint=whole(f, "work_ns", 0) if marks & 1 else 0,
             moved=bool(marks & 8),
         )
--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -126,7 +126,7 @@
         self._call(now, carried, lambda: self.controller.try_ended(
             now, carried.id, ending, took, done, streamer.id, report or {}))
 
-    def over(self, now, carried, ending):
+    def over(self, now, carried, ending, report=None):
         """What plays is over."""
         if carried.stage is not Stage.PLAYING:
             return
@@ -134,7 +134,7 @@
         carried.carrier.let_go(carried, carried.streamer)
         self.watch("over", carried, ending=ending.name)
         self._call(now, carried, lambda: self.controller.try_ended(
-            now, carried.id, ending, now - carried.sent_at, True, carried.streamer.id, {}))
+            now, carried.id, ending, now - carried.sent_at, True, carried.streamer.id, report or {}))
 
     def left(self, now, carried):
         """The viewer is gone: nothing more is owed, but what is out is out until it has ended."""
--- /dev/null
+++ b/terndrift/platform/carrier.py
@@ -0,0 +1,290 @@
+"""Carries set-up tries to streamers in the platform's messages, and hears what they say of what plays there.
+
+Each streamer has a few connections. A set-up takes one that has none out, or a new one: where answers come
+spoilt, a connection takes down with it all that is open on it (DAYS, "Bad peers").
+"""
+
+import asyncio
+
+from tornado.iostream import StreamClosedError
+
+from terndrift.interface import Ending, Standing
+from terndrift.platform import message as m
+from terndrift.platform.message import Unusable, encode
+from terndrift.platform.wire import Wire, stream
+
+SECOND = 1_000_000_000
+MS = 1_000_000
+# Connections to one streamer at most; further set-ups share them.
+MOST = 4
+# A message of a streamer that has begun is whole within so long: it is written in one piece, ways take ms.
+HALF = SECOND // 2
+# A streamer with playbacks says something of its link at least as often as the settings tell; silence over
+# this many times that is checked by a new connection, which what has vanished never lets come up.
+SILENT = 1.25
+# Connections in a row that were turned away, or did not come up, until what played there counts as cut.
+GONE_AFTER = 2
+AGAIN = 0.15  # seconds between them
+
+
+class Peer:
+    """A streamer and the connections to it."""
+
+    def __init__(self, id, name, address, gone):
+        self.id, self.name, self.address, self.gone = id, name, address, gone
+        self.started = 0
+        self.wires = {}  # Wire -> {playback's id: Carried} of tries out on it
+        self.connecting = 0
+        self.playing = {}  # id -> Carried
+        self.waiting = []  # bytes to send once a connection is up
+        self.heard, self.keeper = 0, None
+
+    def idle(self):
+        return not (self.playing or self.connecting or self.waiting or any(self.wires.values()))
+
+
+class Carrier:
+    """`ended(carried, by_viewer)` tells the front that what played is over, as its streamer says."""
+
+    def __init__(self, host, told, log):
+        self.host, self.told, self.log = host, told, log
+        self.peers, self.tries = {}, {}  # id -> Peer; Carried -> (Peer, Wire or None, task)
+        self.ended = lambda carried, by_viewer: None
+
+    def listed(self, entry, name, address):
+        """A line of the list; called before the core hears of it."""
+        peer = self.peers.get(entry.id)
+        gone = entry.standing is Standing.GONE
+        if peer is None:
+            if gone:
+                return
+            peer = self.peers[entry.id] = Peer(entry.id, name, address, gone)
+            peer.started = entry.started
+        if entry.started != peer.started or address and address != peer.address and not gone:
+            # started anew: what played there before is over, and its connections are of the old process
+            self._cut(peer, "started anew")
+            for wire in list(peer.wires):
+                wire.close("streamer started anew")
+        peer.gone, peer.started = gone, entry.started
+        if address and not gone:
+            peer.address = address
+
+    def only(self, ids):
+        """A whole list: what it does not name is gone."""
+        for id, peer in self.peers.items():
+            peer.gone |= id not in ids
+
+    # What the core calls.
+
+    def set_up(self, carried, streamer, rung, time_out):
+        peer, due = self.peers.get(streamer.id), self.host.clock.now() + time_out
+        if peer is None:
+            self.tries[carried] = None
+            return self._over(carried, Ending.UNREACHED)
+        free = [w for w in peer.wires if w.up()]
+        wire = next((w for w in free if not peer.wires[w]), None)
+        if wire is None and len(free) + peer.connecting >= MOST and free:
+            wire = min(free, key=lambda w: len(peer.wires[w]))
+        if wire is not None:
+            self.tries[carried] = peer, wire, None
+            return self._send(carried, peer, wire, rung, due)
+        task = asyncio.ensure_future(self._connect_and_send(carried, peer, rung, due))
+        self.tries[carried] = peer, None, task
+        return None
+
+    def call_off(self, carried):
+        peer, wire, task = self.tries[carried]
+        if wire is None:
+            task.cancel()
+            return self._over(carried, Ending.NEVER_SENT)
+        peer.wires.get(wire, {}).pop(carried.wanted.about.id, None)
+        wire.send(m.release(carried.wanted.about.id, m.OVER))
+        return self._over(carried, Ending.CALLED_OFF)
+
+    def set_rung(self, carried, rung):
+        if peer := self.peers.get(carried.streamer.id):
+            self._say(peer, encode(m.RUNG, carried.wanted.about.id, (m.RUNG_NO, str(rung))))
+
+    def let_go(self, carried, streamer):
+        """What played is over; unless its streamer said so itself, it is told."""
+        peer = self.peers.get(streamer.id)
+        if peer and peer.playing.pop(carried.wanted.about.id, None):
+            self._say(peer, m.release(carried.wanted.about.id, m.OVER))
+
+    def handed_over(self, carried):
+        """It plays already, and its streamer is to be heard."""
+        peer = self.peers[carried.streamer.id]
+        peer.playing[carried.wanted.about.id] = carried
+        self._keep(peer)
+
+    # Connections.
+
+    async def _open(self, peer):
+        """A new Wire; raises OSError (turned away at once) or TimeoutError."""
+        peer.connecting += 1
+        to = stream()
+        try:
+            host, _, port = peer.address.rpartition(":")
+            await asyncio.wait_for(to.connect((host, int(port))), self.told.connect / SECOND)
+        except StreamClosedError as wrong:
+            raise OSError(str(wrong)) from None
+        except BaseException:
+            to.close()
+            raise
+        finally:
+            peer.connecting -= 1
+        wire = Wire(to, self.host.clock, lambda w, msg: self._heard(peer, w, msg),
+                    lambda w: self._closed(peer, w), HALF)
+        peer.wires[wire], peer.heard = {}, self.host.clock.now()
+        for data in peer.waiting:
+            wire.send(data)
+        peer.waiting.clear()
+        return wire
+
+    async def _connect_and_send(self, carried, peer, rung, due):
+        try:
+            wire = await self._open(peer)
+        except (OSError, TimeoutError, ValueError):
+            return self._over(carried, Ending.UNREACHED)
+        if carried not in self.tries:
+            return None
+        self.tries[carried] = peer, wire, None
+        return self._send(carried, peer, wire, rung, due)
+
+    def _send(self, carried, peer, wire, rung, due):
+        now, about = self.host.clock.now(), carried.wanted.about
+        if not self.host.core.may_send(now, carried) or due <= now:
+            return self._over(carried, Ending.NEVER_SENT)
+        parts = [*about.passed, (m.WAIT, str(max(1, (due - now) // MS))), (m.RUNG_NO, str(rung))]
+        peer.wires[wire][about.id] = carried
+        if not wire.send(encode(m.SET_UP, about.id, *parts)):
+            peer.wires[wire].pop(about.id, None)
+            return self._over(carried, Ending.NEVER_SENT)
+        return None
+
+    def _say(self, peer, data):
+        """On any connection, or on one made for it."""
+        for wire in peer.wires:
+            if wire.send(data):
+                return
+        if len(peer.waiting) < 1000:  # what one dead streamer could leave unsaid
+            peer.waiting.append(data)
+        self._keep(peer)
+
+    def _closed(self, peer, wire):
+        tries = peer.wires.pop(wire, {})
+        if wire.why.startswith("unreadable") or tries:
+            self.log.info("streamer's connection ended", streamer=peer.name, why=wire.why, tries=len(tries))
+        for carried in list(tries.values()):
+            self._over(carried, Ending.BROKEN)
+        if peer.playing and not peer.wires:
+            self._keep(peer)
+
+    def _keep(self, peer):
+        if peer.keeper is None and not any(w.up() for w in peer.wires):
+            peer.keeper = asyncio.ensure_future(self._kept(peer, False))
+
+    async def _kept(self, peer, check):
+        """A connection to a streamer where something plays, or must be said; `check`: a new one, as those
+        that are open may be of what has vanished."""
+        try:
+            for n in range(GONE_AFTER):
+                if peer.gone:  # its address may be another's by now
+                    break
+                if n:
+                    await asyncio.sleep(AGAIN)
+                if not check and any(w.up() for w in peer.wires):
+                    return
+                try:
+                    await self._open(peer)
+                    return
+                except (OSError, TimeoutError, ValueError) as wrong:
+                    self.log.info("streamer not reached", streamer=peer.name,
+                                  why=str(wrong) or type(wrong).__name__)
+            if check or not peer.wires:
+                peer.waiting.clear()
+                self._cut(peer, "not reached")
+                for wire in list(peer.wires):
+                    wire.close("streamer not reached")
+        finally:
+            peer.keeper = None
+
+    def _cut(self, peer, why):
+        if peer.playing:
+            self.log.info("what played is cut", streamer=peer.name, why=why, playbacks=len(peer.playing))
+        for carried in list(peer.playing.values()):
+            self._ended(peer, carried, Ending.BROKEN, None)
+
+    def every_quarter(self):
+        """Bounds in time; called four times a second."""
+        now = self.host.clock.now()
+        for id, peer in list(self.peers.items()):
+            for wire in list(peer.wires):
+                if wire.link.overdue(now):
+                    wire.close("unreadable: stops short")
+            if peer.playing and self.told.tell_every and peer.keeper is None:
+                silent = now - peer.heard
+                if silent > SILENT * self.told.tell_every + self.told.deployment.links.lag:
+                    peer.keeper = asyncio.ensure_future(self._kept(peer, True))
+            if peer.gone and peer.idle():
+                for wire in list(peer.wires):
+                    wire.close("streamer gone")
+                del self.peers[id]
+
+    # What streamers say.
+
+    def _heard(self, peer, wire, message):
+        peer.heard = self.host.clock.now()
+        tries = peer.wires.get(wire, {})
+        if message.type == m.ANSWER:
+            if carried := tries.pop(message.id, None):
+                self._answered(peer, wire, carried, message)
+        elif message.type == m.RELEASE:
+            if carried := tries.pop(message.id, None):
+                ending = m.TRY_ENDINGS.get(message.cause, Ending.BROKEN)
+                self._over(carried, ending, m.report(message))
+            elif carried := peer.playing.get(message.id):
+                ending = m.PLAY_ENDINGS.get(message.cause, Ending.BROKEN)
+                self._ended(peer, carried, ending, m.report(message))
+        elif message.type == m.NOTE:
+            if carried := peer.playing.get(message.id):
+                self._noted(peer, carried, message)
+        elif message.type not in (m.PROGRESS, m.RELEASE_HEARD, m.TESTED):
+            wire.close(f"unreadable: a message of type {message.type}")
+
+    def _answered(self, peer, wire, carried, message):
+        if m.DESCRIPTION not in message.parts:
+            peer.wires[wire][message.id] = carried
+            wire.close("unreadable: an answer without a description")
+            return
+        self.tries.pop(carried, None)
+        about = carried.wanted.about
+        about.description = message.parts[m.DESCRIPTION]
+        peer.playing[message.id] = carried
+        self.host.do(self.host.core.began, carried, m.report(message))
+
+    def _ended(self, peer, carried, ending, report):
+        peer.playing.pop(carried.wanted.about.id, None)
+        self.ended(carried, ending is Ending.CALLED_OFF)
+        self.host.do(self.host.core.over, carried, ending, report)
+
+    def _noted(self, peer, carried, message):
+        try:
+            name, value = message.text(m.NOTE_NAME), message.number(m.NOTE_VALUE)
+        except Unusable:
+            return
+        do, core = self.host.do, self.host.core
+        if name == "served":
+            do(core.told_share, peer.id, value)
+        elif name == "at_rung":
+            do(core.rung_stands, carried, int(value))
+        elif name == "link_use":
+            do(core.told_use, carried, value, None)
+        elif name == "rack_use":
+            do(core.told_use, carried, None, value)
+
+    def _over(self, carried, ending, report=None):
+        if self.tries.pop(carried, self) is not self:
+            self.host.do(self.host.core.try_over, carried, ending, report)
+
+
--- /dev/null
+++ b/terndrift/platform/service.py
@@ -0,0 +1,137 @@
+"""A controller on the platform as a process: start, SIGHUP (a new configuration), SIGTERM (a restart)."""
+
+import asyncio
+import gc
+import signal
+import sys
+
+from terndrift import logs
+from terndrift.core.core import Core
+from terndrift.core.host import Clock, Host
+from terndrift.interface import Standing
+from terndrift.platform import settings
+from terndrift.platform.carrier import Carrier
+from terndrift.platform.feed import Feed
+from terndrift.platform.front import Front
+from terndrift.terms import Malformed
+
+SECOND = 1_000_000_000
+# As in terndrift.service: collections of all that lives hold the loop.
+COLLECT = (10_000, 5, 400)
+# A loop later than this for a timer is told.
+HELD = SECOND // 10
+# Seconds after SIGTERM in which set-ups may still come: 0.4 on new connections, 0.2 more on open ones.
+STILL = 0.8
+
+
+class Service:
+    def __init__(self, told, log, path=None):
+        self.told, self.log, self.path = told, log, path
+        self.clock = Clock()
+        self.core = Core(told.deployment, self.clock.now(), told.name, told.drain_grace, logs.watcher(log))
+        self.host = Host(self.core, self.clock)
+        self.carrier = Carrier(self.host, told, log)
+        self.front = Front(self.host, self.carrier, told, log)
+        self.feed = Feed(told.feed, 0, self._event, log)
+        self.old = True  # the events of the start are a list from before it
+        self.tasks, self.address, self.stopped = [], None, asyncio.Event()
+
+    def _event(self, event):
+        members = event.get("members")
+        if members is None:
+            return
+        entries = []
+        for row in members["hosts"]:
+            try:
+                entry, name, address = settings.listed(row, self.told.layout, self.clock)
+            except Malformed as wrong:
+                self.log.warning("feed", why=str(wrong))
+                continue
+            self.carrier.listed(entry, name, address)
+            entries.append(entry)
+        whole = bool(members.get("whole"))
+        if whole:
+            self.carrier.only({e.id for e in entries if e.standing is not Standing.GONE})
+        self.host.do(self.core.list_changed, entries, whole, self.old)
+        self.log.info("list", n=event.get("n"), whole=whole,
+                      changed=[(r["host"], r["health"]) for r in members["hosts"]][:20])
+
+    def start(self):
+        """Within a running loop: opens the front. Raises OSError without the port, Malformed."""
+        try:
+            self.feed.take({"n": 0, "events": self.told.known})
+        except (KeyError, TypeError) as wrong:
+            raise Malformed(f"known: an event without {wrong}") from None
+        self.old = False
+        self.address = self.front.listen_on(self.told.listen)
+        self.front.ready = True
+        self.tasks += [asyncio.ensure_future(self.feed.follow()), asyncio.ensure_future(self._quarters())]
+        self.log.info("listening", address=self.address, name=self.told.name)
+
+    async def _quarters(self):
+        while True:
+            await asyncio.sleep(0.25)
+            try:
+                if self.host.late > HELD:
+                    self.log.warning("loop held", ms=self.host.late // 1_000_000)
+                self.host.late = 0
+                self.front.every_quarter()
+                self.carrier.every_quarter()
+            except Exception as fault:  # the next quarter must come all the same
+                self.log.error("fault of a bound", exc_info=fault)
+
+    def reread(self):
+        """SIGHUP: another configuration. What can't be read leaves the old one in force."""
+        try:
+            told = settings.read(self.path)
+        except Malformed as wrong:
+            self.log.error("configuration not taken", why=str(wrong))
+            return
+        self.log.info("configuration", feed=told.feed)
+        self.feed.move(told.feed)
+
+    async def drain(self):
+        """SIGTERM: what comes is answered while it may still come, then what is open; what plays plays on
+        until the platform's SIGKILL is due, which comes no sooner than the longest wait after SIGTERM."""
+        loop = asyncio.get_running_loop()
+        self.log.info("draining", open=self.core.open, playbacks=len(self.core.held))
+        began = loop.time()
+        longest = max([3 * SECOND, *self.told.abandons.values()]) / SECOND
+        await asyncio.sleep(STILL)
+        while loop.time() < began + longest and (self.core.open or self.core.held):
+            await asyncio.sleep(0.05)
+        self.close()
+
+    def close(self):
+        for task in self.tasks:
+            task.cancel()
+        self.front.stop()
+        self.host.stop()
+        self.stopped.set()
+
+    async def run(self):
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reread)
+        loop.add_signal_handler(
+            signal.SIGTERM, lambda: self.tasks.append(asyncio.ensure_future(self.drain())))
+        self.start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECT)
+        await self.stopped.wait()
+        self.log.info("stopped")
+
+
+def main(environ):
+    log = logs.setup("info", "json")
+    path = environ.get("LB_CONFIG")
+    if not path:
+        sys.exit("terndrift: LB_CONFIG is not set")
+
+    async def serve():
+        await Service(settings.read(path), log, path).run()
+
+    try:
+        asyncio.run(serve())
+    except (Malformed, OSError) as wrong:
+        sys.exit(f"terndrift: {wrong}")
