Tests of the platform's messages, links, feed, front and carrier among stand-ins

An answer that its viewer's connection can't take is let go; the wires are closed as the controller ends.

--- a/terndrift/platform/carrier.py
+++ b/terndrift/platform/carrier.py
@@ -49,7 +49,7 @@
     def __init__(self, host, told, log):
         self.host, self.told, self.log = host, told, log
         self.peers, self.tries = {}, {}  # id -> Peer; Carried -> (Peer, Wire or None, task)
-        self.ended = lambda carried, by_viewer: None
+        self.ended, self.closing = lambda carried, by_viewer: None, False
 
     def listed(self, entry, name, address):
         """A line of the list; called before the core hears of it."""
@@ -181,7 +181,7 @@
             self._keep(peer)
 
     def _keep(self, peer):
-        if peer.keeper is None and not any(w.up() for w in peer.wires):
+        if not self.closing and peer.keeper is None and not any(w.up() for w in peer.wires):
             peer.keeper = asyncio.ensure_future(self._kept(peer, False))
 
     async def _kept(self, peer, check):
@@ -231,6 +231,14 @@
                     wire.close("streamer gone")
                 del self.peers[id]
 
+    def close(self):
+        self.closing = True
+        for peer in self.peers.values():
+            if peer.keeper:
+                peer.keeper.cancel()
+            for wire in list(peer.wires):
+                wire.close("the controller ends")
+
     # What streamers say.
 
     def _heard(self, peer, wire, message):
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -157,16 +157,15 @@
         open = self.wires.pop(wire)
         self.standing.pop(wire)
         self.served.pop(wire, None)
-        for viewing in list(open.values()):
-            self.wires[wire] = open  # as `_close` looks there
+        for viewing in open.values():
             self._give_up(viewing)
-        self.wires.pop(wire, None)
 
     # What viewers are told.
 
     def _close(self, viewing):
         """The set-up is no longer open."""
-        self.wires[viewing.wire].pop(viewing.id, None)
+        if viewing.wire in self.wires:
+            del self.wires[viewing.wire][viewing.id]
         self.gate.leave(self.host.clock.now(), viewing.wire)
 
     def _answered(self, viewing, answer):
@@ -175,7 +174,11 @@
         if answer.kind is Kind.PLAYS:
             self.standing[wire] += 1
             self.served[wire] = None
-            wire.send(encode(m.ANSWER, viewing.id, (m.DESCRIPTION, viewing.description)))
+            if not wire.send(encode(m.ANSWER, viewing.id, (m.DESCRIPTION, viewing.description))):
+                # its connection has just ended: nobody knows that it stands
+                self._forget(viewing)
+                self.host.do(self.host.core.left, viewing.carried)
+                return
             while self.owed:
                 wire.send(self.owed.popleft()[1])
             return
--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -106,6 +106,7 @@
         for task in self.tasks:
             task.cancel()
         self.front.stop()
+        self.carrier.close()
         self.host.stop()
         self.stopped.set()
 
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,245 @@
+"""A controller of the platform with stand-in streamers, control feed and viewers, all on loopback sockets."""
+
+import asyncio
+import contextlib
+import json
+import os
+import tempfile
+from collections import deque
+
+from world import Log
+
+from terndrift.platform import message as m
+from terndrift.platform import settings
+from terndrift.platform.message import encode, messages, release
+from terndrift.platform.service import Service
+
+MS = 1_000_000
+SETTINGS = {
+    "rank": 0, "replicas_of_me": 1, "zone": "here", "host_types": ["box"],
+    "profiles": [{"name": name, "worth": revenue, "slo_ns": 600 * MS, "deadline_ns": 3000 * MS,
+                  "effect": effect}
+                 for name, revenue, effect in (("free", 1.0, "idempotent"), ("paid", 2.0, "at_most_once"))],
+    "family_info": {
+        "rung_kb": [100.0, 200.0, 400.0], "worth_by_rung": [0.3, 0.6, 1.0], "lowest_rung": [0, 1],
+        "top_by_class": [2, 2], "class_seats": [0, 0], "scale_by_class": [1.0, 1.0], "places": 4, "racks": 2,
+        "places_by_kind": [20], "link_unit_kb": 8000.0, "rack_kb": 16000.0, "see_ns": 300 * MS,
+        "reports_every_ns": 3000 * MS, "switch_cost_s": 0.5, "shortfall_cost": 6.0},
+    "load_report": {"how": "answers", "fields": ["active", "x0", "x1"]},
+    "ceilings": {"try_limit": 5, "retry_after": True, "max_retry_after_ns": 500 * MS,
+                 "connect_timeout_ns": 250 * MS, "keepalive_ns": 30_000 * MS, "probes": False},
+    "rules": {"cold_ns": 2000 * MS, "start_capacity": 0.5, "tip_multiple": 2.5, "overload_for_ns": 1000 * MS,
+              "free_resends": 20, "repeat_ratio": 0.1, "budget_span_ns": 10_000 * MS,
+              "drain_grace_ns": 250 * MS},
+}
+
+
+class Streamer:
+    """`how` says what becomes of a set-up: see `_set_up`. Keeps what it was sent."""
+
+    def __init__(self, name, cell):
+        self.name, self.cell, self.how, self.heard, self.writers = name, cell, "plays", [], []
+        self.server, self.port, self.news = None, 0, asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def row(self, health="up", born=0):
+        return {"host": self.name, "dial": f"127.0.0.1:{self.port}", "site": "here", "class": "box",
+                "block": self.cell, "health": health, "share": 1, "born_ms": born}
+
+    async def _serve(self, reader, writer):
+        buffer = bytearray()
+        self.writers.append(writer)
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                buffer += data
+                for message in messages(buffer):
+                    self.heard.append(message)
+                    self.news.set()
+                    if message.type == m.SET_UP:
+                        self._set_up(writer, message)
+        writer.close()
+
+    def _set_up(self, writer, message):
+        id, good = message.id, encode(m.ANSWER, message.id, (m.DESCRIPTION, b"made by " + self.name.encode()))
+        if self.how == "plays":
+            writer.write(good)
+        elif self.how == "plays twice":
+            writer.write(good + good + encode(m.ANSWER, b"strange!", (m.DESCRIPTION, b"nobody's")))
+        elif self.how == "full":
+            writer.write(release(id, 34, (m.REPORT, "active:3;x0:0.4;x1:0.5")))
+        elif self.how == "errs":
+            writer.write(release(id, 47))
+        elif self.how == "noise":
+            writer.write(b"\xff" * 64)
+        elif self.how == "stops short":
+            writer.write(good[:-3])
+        elif self.how == "resets":
+            writer.transport.abort()
+        else:
+            assert self.how == "silent", self.how
+
+    def ids(self, type):
+        return [h.id for h in self.heard if h.type == type]
+
+    def say(self, data):
+        """On the newest connection that is open."""
+        next(w for w in reversed(self.writers) if not w.is_closing()).write(data)
+
+    async def die(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+        await self.server.wait_closed()
+
+
+class ControlFeed:
+    """`how`: "answers", "breaks" (in the middle of an answer), "stands" (never answers)."""
+
+    def __init__(self):
+        self.events, self.how, self.asked, self.changed = [], "answers", [], asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    def tell(self, *rows, whole=False):
+        self.events.append({"n": len(self.events) + 1, "members": {
+            "seq": len(self.events) + 1, "whole": whole, "hosts": list(rows)}})
+        self.changed.set()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                held = int(head.split("SUB=")[1].split("&")[0])
+                self.asked.append(held)
+                if self.how == "stands":
+                    await asyncio.sleep(30)
+                if len(self.events) <= held:
+                    self.changed.clear()
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self.changed.wait(), 0.2)
+                body = json.dumps({"n": len(self.events), "events": self.events[held:]}).encode()
+                data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                if self.how == "breaks":
+                    writer.write(data[:-5])
+                    writer.close()
+                    return
+                writer.write(data)
+        writer.close()
+
+
+class Viewer:
+    """One connection to the controller."""
+
+    def __init__(self, world):
+        self.world, self.heard, self.buffer = world, deque(), bytearray()
+
+    async def connect(self):
+        self.reader, self.writer = await asyncio.open_connection(*self.world.service.address)
+        return self
+
+    def send(self, data):
+        self.writer.write(data)
+
+    async def hear(self):
+        """The next message; None: the connection ended."""
+        while not self.heard:
+            try:
+                data = await self.reader.read(65536)
+            except ConnectionError:
+                data = b""
+            if not data:
+                return None
+            self.buffer += data
+            self.heard.extend(messages(self.buffer))
+        return self.heard.popleft()
+
+    def ask(self, id=None, plan="free", wait="3000", title="00112233aabbccdd", hint="9000.0",
+            figures="home:0;copies:4;top:2;viewer:00000000b4d65521", description=b"what I can play", more=()):
+        id = id or self.world.id()
+        self.send(encode(m.SET_UP, id, (m.PLAN, plan), (m.WAIT, wait), (m.TITLE, title), (m.HINT, hint),
+                         (m.FIGURES, figures), (m.DESCRIPTION, description), *more))
+        return id
+
+
+class World:
+    def __init__(self, streamers=2, more=None):
+        self.folder, self.count, self.more = tempfile.TemporaryDirectory(), 0, more or {}
+        self.streamers = [Streamer(f"s-{n:08x}", n) for n in range(streamers)]
+        self.path, self.said = os.path.join(self.folder.name, "config.json"), []
+
+    def id(self):
+        self.count += 1
+        return self.count.to_bytes(8, "big")
+
+    def write(self, **changed):
+        value = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+                 "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 128}, "feed": self.feed.address,
+                 "known": {"n": len(self.feed.events), "events": list(self.feed.events)},
+                 "settings": {**SETTINGS, **self.more}, **changed}
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(value, file)
+
+    async def __aenter__(self):
+        self.feed = ControlFeed()
+        await self.feed.start()
+        for streamer in self.streamers:
+            await streamer.start()
+        self.feed.tell(*(s.row() for s in self.streamers), whole=True)
+        self.write()
+        self.service = Service(settings.read(self.path), Log(self.said), self.path)
+        self.core, self.carrier = self.service.core, self.service.carrier
+        # what just started may find streamers that just started too; tests of that say so themselves
+        self.core.controller.began_empty = False
+        self.service.start()
+        return self
+
+    async def __aexit__(self, *_):
+        self.service.close()
+        for streamer in self.streamers:
+            await streamer.die()
+        self.feed.server.close()
+        self.folder.cleanup()
+
+    async def viewer(self):
+        return await Viewer(self).connect()
+
+    async def plays(self, viewer, **more):
+        """A playback that stands; returns its id and the streamer."""
+        id = viewer.ask(**more)
+        answer = await viewer.hear()
+        assert (answer.type, answer.id) == (m.ANSWER, id)
+        name = answer.parts[m.DESCRIPTION].removeprefix(b"made by ").decode()
+        return id, next(s for s in self.streamers if s.name == name)
+
+    def by_name(self, name):
+        return self.core.controller.streamers[settings.streamer_id(name)]
+
+    def faults(self):
+        return [s for s in self.said if s[0] == "error"]
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+def in_world(test=None, **made):
+    """Runs a coroutine test within a World; no error may have been logged."""
+    if test is None:
+        return lambda test: in_world(test, **made)
+
+    def run():
+        async def inside():
+            async with World(**made) as world:
+                await asyncio.wait_for(test(world), 60)
+                assert not world.faults()
+        asyncio.run(inside())
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
