The next try waits until its streamer has heard that the last one is given up

Ruled out: connections that broke (none then) and set-ups sent twice by viewers. Now it is over when the streamer says 'release heard', or ends it, or 50 ms later; the same for tries on a connection that this side closes. A try is an object of its own (Out), so that a late word can't end the next one.

--- a/terndrift/platform/carrier.py
+++ b/terndrift/platform/carrier.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from tornado.ioloop import IOLoop
 from tornado.iostream import StreamClosedError
 
 from terndrift.interface import Ending, Standing
@@ -22,18 +23,30 @@
 # A streamer with playbacks says something of its link at least as often as the settings tell; silence over
 # this many times that is checked by a new connection, which what has vanished never lets come up.
 SILENT = 1.25
+# A try given up is out until its streamer has heard of it: connections run side by side, the next try must
+# not overtake the word (two tries of one playback were out at once, under load). Streamers may say "release
+# heard"; so long is waited for it: the slack of the platform's own time limits.
+CONFIRM = 0.05
 # Connections in a row that were turned away, or did not come up, until what played there counts as cut.
 GONE_AFTER = 2
 AGAIN = 0.15  # seconds between them
 
 
+class Out:
+    """A try that is out: on its way to a connection, on one, or given up and not yet over."""
+
+    def __init__(self, carried, peer):
+        self.carried, self.peer, self.id = carried, peer, carried.wanted.about.id
+        self.wire = self.task = None
+
+
 class Peer:
     """A streamer and the connections to it."""
 
     def __init__(self, id, name, address, gone):
         self.id, self.name, self.address, self.gone = id, name, address, gone
         self.started = 0
-        self.wires = {}  # Wire -> {playback's id: Carried} of tries out on it
+        self.wires = {}  # Wire -> {playback's id: Out} of tries on it
         self.connecting = 0
         self.playing = {}  # id -> Carried
         self.expected = {}  # id -> called with the rung of what plays there and is to be handed over
@@ -50,7 +63,8 @@
 
     def __init__(self, host, told, log):
         self.host, self.told, self.log = host, told, log
-        self.peers, self.tries = {}, {}  # id -> Peer; Carried -> (Peer, Wire or None, task)
+        self.peers, self.tries = {}, {}  # id -> Peer; Carried -> Out
+        self.leaving = {}  # playback's id -> Out, of tries given up
         self.ended, self.closing = lambda carried, by_viewer: None, False
 
     def listed(self, entry, name, address):
@@ -80,28 +94,27 @@
 
     def set_up(self, carried, streamer, rung, time_out):
         peer, due = self.peers.get(streamer.id), self.host.clock.now() + time_out
+        out = self.tries[carried] = Out(carried, peer)
         if peer is None:
-            self.tries[carried] = None
-            return self._over(carried, Ending.UNREACHED)
+            return self._over(out, Ending.UNREACHED)
         free = [w for w in peer.wires if w.up()]
         wire = next((w for w in free if not peer.wires[w]), None)
         if wire is None and len(free) + peer.connecting >= MOST and free:
             wire = min(free, key=lambda w: len(peer.wires[w]))
         if wire is not None:
-            self.tries[carried] = peer, wire, None
-            return self._send(carried, peer, wire, rung, due)
-        task = asyncio.ensure_future(self._connect_and_send(carried, peer, rung, due))
-        self.tries[carried] = peer, None, task
+            return self._send(out, wire, rung, due)
+        out.task = asyncio.ensure_future(self._connect_and_send(out, rung, due))
         return None
 
     def call_off(self, carried):
-        peer, wire, task = self.tries[carried]
-        if wire is None:
-            task.cancel()
-            return self._over(carried, Ending.NEVER_SENT)
-        peer.wires.get(wire, {}).pop(carried.wanted.about.id, None)
-        wire.send(m.release(carried.wanted.about.id, m.OVER))
-        return self._over(carried, Ending.CALLED_OFF)
+        out = self.tries[carried]
+        if out.wire is None:
+            out.task.cancel()
+            return self._over(out, Ending.NEVER_SENT)
+        out.peer.wires.get(out.wire, {}).pop(out.id, None)
+        out.wire.send(m.release(out.id, m.OVER))
+        self.leaving[out.id] = out
+        return self._over_soon(out, Ending.CALLED_OFF)
 
     def set_rung(self, carried, rung):
         if peer := self.peers.get(carried.streamer.id):
@@ -157,25 +170,22 @@
         peer.waiting.clear()
         return wire
 
-    async def _connect_and_send(self, carried, peer, rung, due):
+    async def _connect_and_send(self, out, rung, due):
         try:
-            wire = await self._open(peer)
+            wire = await self._open(out.peer)
         except (OSError, TimeoutError, ValueError):
-            return self._over(carried, Ending.UNREACHED)
-        if carried not in self.tries:
-            return None
-        self.tries[carried] = peer, wire, None
-        return self._send(carried, peer, wire, rung, due)
-
-    def _send(self, carried, peer, wire, rung, due):
-        now, about = self.host.clock.now(), carried.wanted.about
-        if not self.host.core.may_send(now, carried) or due <= now:
-            return self._over(carried, Ending.NEVER_SENT)
+            return self._over(out, Ending.UNREACHED)
+        return self._send(out, wire, rung, due)
+
+    def _send(self, out, wire, rung, due):
+        now, about = self.host.clock.now(), out.carried.wanted.about
+        if not self.host.core.may_send(now, out.carried) or due <= now:
+            return self._over(out, Ending.NEVER_SENT)
         parts = [*about.passed, (m.WAIT, str(max(1, (due - now) // MS))), (m.RUNG_NO, str(rung))]
-        peer.wires[wire][about.id] = carried
-        if not wire.send(encode(m.SET_UP, about.id, *parts)):
-            peer.wires[wire].pop(about.id, None)
-            return self._over(carried, Ending.NEVER_SENT)
+        if not wire.send(encode(m.SET_UP, out.id, *parts)):
+            return self._over(out, Ending.NEVER_SENT)
+        out.wire = wire
+        out.peer.wires[wire][out.id] = out
         return None
 
     def _say(self, peer, data):
@@ -191,8 +201,9 @@
         tries = peer.wires.pop(wire, {})
         if wire.why.startswith("unreadable") or tries:
             self.log.info("streamer's connection ended", streamer=peer.name, why=wire.why, tries=len(tries))
-        for carried in list(tries.values()):
-            self._over(carried, Ending.BROKEN)
+        for out in tries.values():
+            # one closed from this side: the streamer is yet to hear of it
+            (self._over_soon if wire.by_us else self._over)(out, Ending.BROKEN)
         if (peer.playing or peer.expected) and not peer.wires:
             self._keep(peer)
 
@@ -265,12 +276,13 @@
         peer.heard = self.host.clock.now()
         tries = peer.wires.get(wire, {})
         if message.type == m.ANSWER:
-            if carried := tries.pop(message.id, None):
-                self._answered(peer, wire, carried, message)
+            if out := tries.get(message.id):
+                self._answered(peer, wire, out, message)
         elif message.type == m.RELEASE:
-            if carried := tries.pop(message.id, None):
-                ending = m.TRY_ENDINGS.get(message.cause, Ending.BROKEN)
-                self._over(carried, ending, m.report(message))
+            if out := tries.pop(message.id, None):
+                self._over(out, m.TRY_ENDINGS.get(message.cause, Ending.BROKEN), m.report(message))
+            elif out := self._leaving(message.id, wire):
+                self._over(out, Ending.CALLED_OFF)
             elif told := peer.expected.get(message.id):
                 told(None)
             elif carried := peer.playing.get(message.id):
@@ -278,19 +290,24 @@
                 self._ended(peer, carried, ending, m.report(message))
         elif message.type == m.NOTE:
             self._noted(peer, message)
-        elif message.type not in (m.PROGRESS, m.RELEASE_HEARD, m.TESTED):
+        elif message.type == m.RELEASE_HEARD:
+            if out := self._leaving(message.id, wire):
+                self._over(out, Ending.CALLED_OFF)
+        elif message.type not in (m.PROGRESS, m.TESTED):
             wire.close(f"unreadable: a message of type {message.type}")
 
-    def _answered(self, peer, wire, carried, message):
+    def _leaving(self, id, wire):
+        out = self.leaving.get(id)
+        return out if out and out.wire is wire else None
+
+    def _answered(self, peer, wire, out, message):
         if m.DESCRIPTION not in message.parts:
-            peer.wires[wire][message.id] = carried
             wire.close("unreadable: an answer without a description")
             return
-        self.tries.pop(carried, None)
-        about = carried.wanted.about
-        about.description = message.parts[m.DESCRIPTION]
-        peer.playing[message.id] = carried
-        self.host.do(self.host.core.began, carried, m.report(message))
+        del peer.wires[wire][message.id], self.tries[out.carried]
+        out.carried.wanted.about.description = message.parts[m.DESCRIPTION]
+        peer.playing[message.id] = out.carried
+        self.host.do(self.host.core.began, out.carried, m.report(message))
 
     def _ended(self, peer, carried, ending, report):
         self.log.debug("ended", streamer=peer.id, pb=carried.id, ending=ending.name, report=report)
@@ -318,8 +335,12 @@
         elif name == "rack_use":
             do(core.told_use, carried, None, value)
 
-    def _over(self, carried, ending, report=None):
-        if self.tries.pop(carried, self) is not self:
-            self.host.do(self.host.core.try_over, carried, ending, report)
-
+    def _over(self, out, ending, report=None):
+        if self.tries.get(out.carried) is out:
+            del self.tries[out.carried]
+            if self.leaving.get(out.id) is out:
+                del self.leaving[out.id]
+            self.host.do(self.host.core.try_over, out.carried, ending, report)
 
+    def _over_soon(self, out, ending):
+        IOLoop.current().call_later(CONFIRM, self._over, out, ending)
--- a/terndrift/platform/wire.py
+++ b/terndrift/platform/wire.py
@@ -26,7 +26,7 @@
 
     def __init__(self, stream, clock, heard, closed, half=HALF):
         self.stream, self.clock, self.heard, self.closed = stream, clock, heard, closed
-        self.link, self.why = Link(clock.now(), half), "closed by the other side"
+        self.link, self.why, self.by_us = Link(clock.now(), half), "closed by the other side", False
         stream.set_nodelay(True)
         self.task = asyncio.ensure_future(self._read())
 
@@ -48,7 +48,7 @@
 
     def close(self, why):
         if not self.stream.closed():
-            self.why = why
+            self.why, self.by_us = why, True
             self.stream.close()
 
     async def _read(self):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,8 +18,8 @@
 from terndrift import terms
 from terndrift.core.carried import Stage
 from terndrift.interface import Standing
+from terndrift.platform import carrier, settings
 from terndrift.platform import message as m
-from terndrift.platform import settings
 from terndrift.platform.feed import Feed
 from terndrift.platform.link import Link
 from terndrift.platform.message import Message, Unreadable, Unusable, encode, messages, release
@@ -266,6 +266,25 @@
         await until(lambda s=streamer: s.ids(m.RELEASE) == [id])
 
 
+@in_world
+async def test_the_next_try_waits_until_the_streamer_has_heard_that_one_is_given_up(world):
+    for streamer in world.streamers:
+        streamer.how = "silent"
+    kept, carrier.CONFIRM = carrier.CONFIRM, 30
+    try:
+        viewer = await world.viewer()
+        id = viewer.ask()
+        await until(lambda: any(s.ids(m.RELEASE) for s in world.streamers))
+        first, other = sorted(world.streamers, key=lambda s: not s.heard)
+        await asyncio.sleep(0.1)
+        assert not other.heard, "two would be out at once"
+        other.how = "plays"
+        first.say(encode(m.RELEASE_HEARD, id))
+        assert (await viewer.hear()).type == m.ANSWER and other.ids(m.SET_UP) == [id]
+    finally:
+        carrier.CONFIRM = kept
+
+
 @in_world
 async def test_answers_beyond_the_one_that_is_due_are_passed_over(world):
     for streamer in world.streamers:
