A planned restart ends with a last word for everything, just before SIGKILL is due

Seen on reload: 'draining' in the logs and never 'stopped': service.drain waited for the longest wait of all, at least 3 s, where the platform counts it as 3 s at most, so that SIGKILL came first. Now all goes on until 0.2 s before it is due; then open set-ups are answered and what stands is released to viewers and streamers, without the core (679 ends in its books took longer than there was).

--- a/terndrift/platform/carrier.py
+++ b/terndrift/platform/carrier.py
@@ -204,12 +204,13 @@
         for out in tries.values():
             # one closed from this side: the streamer is yet to hear of it
             (self._over_soon if wire.by_us else self._over)(out, Ending.BROKEN)
-        if (peer.playing or peer.expected) and not peer.wires:
-            self._keep(peer)
+        if peer.playing or peer.expected:
+            # where one has ended others may be of a dead process too, silent and open
+            self._keep(peer, check=not wire.by_us)
 
-    def _keep(self, peer):
-        if not self.closing and peer.keeper is None and not any(w.up() for w in peer.wires):
-            peer.keeper = asyncio.ensure_future(self._kept(peer, False))
+    def _keep(self, peer, check=False):
+        if not self.closing and peer.keeper is None and (check or not any(w.up() for w in peer.wires)):
+            peer.keeper = asyncio.ensure_future(self._kept(peer, check))
 
     async def _kept(self, peer, check):
         """A connection to a streamer where something plays, or must be said; `check`: a new one, as those
@@ -223,11 +224,15 @@
                 if not check and any(w.up() for w in peer.wires):
                     return
                 try:
-                    await self._open(peer)
-                    return
+                    fresh = await self._open(peer)
                 except (OSError, TimeoutError, ValueError) as wrong:
                     self.log.info("streamer not reached", streamer=peer.name,
                                   why=str(wrong) or type(wrong).__name__)
+                    continue
+                spare = [w for w, tries in peer.wires.items() if w is not fresh and not tries]
+                for wire in spare[:max(0, len(peer.wires) - MOST)]:  # the oldest, which may be dead
+                    wire.close("replaced")
+                return
             if check or not peer.wires:
                 peer.waiting.clear()
                 self._cut(peer, "not reached")
@@ -254,12 +259,22 @@
             if peer.playing and self.told.tell_every and peer.keeper is None:
                 silent = now - peer.heard
                 if silent > SILENT * self.told.tell_every + self.told.deployment.links.lag:
-                    peer.keeper = asyncio.ensure_future(self._kept(peer, True))
+                    self._keep(peer, check=True)
             if peer.gone and peer.idle():
                 for wire in list(peer.wires):
                     wire.close("streamer gone")
                 del self.peers[id]
 
+    def farewell(self):
+        """The controller ends: streamers are told of all that is out or plays, where a connection is open."""
+        self.closing = True
+        for out in self.tries.values():
+            if out.wire:
+                out.wire.send(m.release(out.id, m.OVER))
+        for peer in self.peers.values():
+            if wire := next((w for w in peer.wires if w.up()), None):
+                wire.send(b"".join(m.release(id, m.OVER) for id in peer.playing))
+
     def close(self):
         self.closing = True
         for peer in self.peers.values():
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -51,7 +51,7 @@
         self.expected = {}  # id -> (since, streamer, Viewing, what hands it over): it plays already
         self.owed = deque()  # (until, bytes): releases that no connection could carry
         self.gate = Gate(OPEN, told.deployment.seed)
-        self.ready = False
+        self.ready, self.leaving = False, False
         carrier.ended = self._ended
 
     def listen_on(self, address):
@@ -130,6 +130,9 @@
                 self._give_up(before)  # one answer can't stand for two
             wire.send(release(message.id, m.UNUSABLE))
             return
+        if self.leaving:
+            wire.send(release(message.id, m.REJECTED))
+            return
         if come_back := self.gate.enter(now, wire):
             wire.send(release(message.id, m.REJECTED, (m.ADVICE, str(come_back // MS))))
             return
@@ -191,7 +194,7 @@
 
     def _give_up(self, viewing):
         self._close(viewing)
-        del self.held[viewing.id]
+        self.held.pop(viewing.id, None)
         self.host.do(self.host.core.left, viewing.carried)
 
     def _closed(self, wire):
@@ -201,6 +204,19 @@
         for viewing in open.values():
             self._give_up(viewing)
 
+    def farewell(self):
+        """The controller ends: a last word for everything, to viewers first, and nothing new. The core is
+        left as it is: hundreds of ends in its books would take longer than there is."""
+        self.stop()
+        self.leaving = True
+        for viewing in self.held.values():
+            if viewing.carried.answer is None:
+                viewing.wire.send(release(viewing.id, m.ABORTED))
+            else:
+                self._release(viewing)
+        self.held.clear()
+        self.carrier.farewell()
+
     # What viewers are told.
 
     def _close(self, viewing):
--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -20,8 +20,11 @@
 COLLECT = (10_000, 5, 400)
 # A loop later than this for a timer is told.
 HELD = SECOND // 10
-# Seconds after SIGTERM in which set-ups may still come: 0.4 on new connections, 0.2 more on open ones.
-STILL = 0.8
+# SIGKILL comes no sooner after SIGTERM than the longest wait of a viewer, counted as 3 s where it is longer,
+# and 0.7 s more (PROTOCOL): all is answered and released so many seconds before.
+LONGEST_WAIT, BEFORE = 3.0, 0.2
+# Seconds for the sockets to take the last words.
+FLUSH = 0.05
 
 
 class Service:
@@ -91,15 +94,13 @@
         self.feed.move(told.feed)
 
     async def drain(self):
-        """SIGTERM: what comes is answered while it may still come, then what is open; what plays plays on
-        until the platform's SIGKILL is due, which comes no sooner than the longest wait after SIGTERM."""
-        loop = asyncio.get_running_loop()
+        """SIGTERM: all goes on, as set-ups still come and what plays plays; just before SIGKILL is due what is
+        open is answered, and what stands released on both sides, so that its viewers come again at once."""
         self.log.info("draining", open=self.core.open, playbacks=len(self.core.held))
-        began = loop.time()
-        longest = max([3 * SECOND, *self.told.abandons.values()]) / SECOND
-        await asyncio.sleep(STILL)
-        while loop.time() < began + longest and (self.core.open or self.core.held):
-            await asyncio.sleep(0.05)
+        longest = min(LONGEST_WAIT, max(self.told.abandons.values(), default=0) / SECOND)
+        await asyncio.sleep(longest + 0.7 - BEFORE)
+        self.front.farewell()
+        await asyncio.sleep(FLUSH)
         self.close()
 
     def close(self):
