--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -94,8 +94,8 @@
         self.feed.move(told.feed)
 
     async def drain(self):
-        """SIGTERM: all goes on, as set-ups still come and what plays plays; just before SIGKILL is due what is
-        open is answered, and what stands released on both sides, so that its viewers come again at once."""
+        """SIGTERM: all goes on, as set-ups still come and what plays plays; just before SIGKILL is due what
+        is open is answered and what stands released on both sides: its viewers come again at once."""
         self.log.info("draining", open=self.core.open, playbacks=len(self.core.held))
         longest = min(LONGEST_WAIT, max(self.told.abandons.values(), default=0) / SECOND)
         await asyncio.sleep(longest + 0.7 - BEFORE)
