--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -542,24 +542,24 @@
         more = pb.plan.scale if pb else 0.0
         room = {at: self._budget(now, at, more * (at in (s, rack))) for at in [rack, *rack.streamers]}
         all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
-        rungs, steps, drawn = {}, [], set()
+        rungs, steps, drawn, free = {}, [], set(), room[rack]
         for n, (p, at) in enumerate(all_of):
             rung = rungs[p] = p.plan.floor
             kb = p.rates[rung]
             room[at] -= kb
-            room[rack] -= kb
+            free -= kb
             if rung < p.top:
                 steps.append((p.steps[rung][0], n, rung + 1))
         heapq.heapify(steps)
-        while steps and room[rack] > 0:
+        while steps and free > 0:
             _, n, rung = steps[0]
             p, at = all_of[n]
-            kb = p.steps[rung - 1][1]
-            tight = at if room[at] <= room[rack] else rack
+            kb, here = p.steps[rung - 1][1], room[at]
+            tight, least = (rack, free) if free < here else (at, here)
             # the first step that does not fit is taken by chance, so that all controllers together fill it
-            if kb <= room[tight] or tight not in drawn and p.luck * kb < room[tight]:
+            if kb <= least or tight not in drawn and p.luck * kb < least:
                 room[at] -= kb
-                room[rack] -= kb
+                free -= kb
                 rungs[p] = rung
                 if rung < p.top:
                     heapq.heapreplace(steps, (p.steps[rung][0], n, rung + 1))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -40,3 +40,43 @@
             front.pass_time((a % 40) * 50 * MS)
     front.pass_time(8 * S)
     assert not front.c.open, "something is still owed"
+
+
+def plain_fair(c, now, rack):
+    """`Controller._fair` of a whole rack as the rule is told: one step at a time, the best that is left."""
+    room = {at: c._budget(now, at, 0.0) for at in [rack, *rack.streamers]}
+    all_of = [(pb, s) for s in rack.streamers for pb in s.playbacks]
+    rungs, ended, drawn = {pb: pb.plan.floor for pb, _ in all_of}, set(), set()
+    for pb, at in all_of:
+        for link in (at, rack):
+            room[link] -= pb.rates[pb.plan.floor]
+    while room[rack] > 0:
+        left = [(pb.steps[rungs[pb]][0], n) for n, (pb, _) in enumerate(all_of)
+                if pb not in ended and rungs[pb] < pb.top]
+        if not left:
+            break
+        pb, at = all_of[min(left)[1]]
+        kb = pb.steps[rungs[pb]][1]
+        tight = rack if room[rack] < room[at] else at
+        if kb <= room[tight] or tight not in drawn and pb.luck * kb < room[tight]:
+            rungs[pb] += 1
+            for link in (at, rack):
+                room[link] -= kb
+        else:
+            drawn.add(tight)
+            ended.add(pb)
+    return rungs
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=60)
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 3), st.integers(0, 99)), min_size=1, max_size=60))
+def test_fair_rungs_are_those_of_the_plain_rule(wanted):
+    front = Front(streamers=6)
+    for n, (paid, top, use) in enumerate(wanted):
+        pb = front.want("paid" if paid else "free", f"t{n}", cells=6, top=max(top, int(paid)))
+        if pb and pb.state is State.TRYING:
+            front.play(pb)
+        if use < 20:
+            front.use(n % 6, link=use / 20, uplink=0.1 + use / 25)
+        for rack in front.c.racks.values():
+            assert front.c._fair(front.now, rack) == plain_fair(front.c, front.now, rack)
