Times of playbacks taken are bounded where no budget prunes them

Found by reading: Controller.taken was pruned in _extra_left alone, which a deployment without a budget never asked; it grew with every playback taken. 10**5 times is over an hour at 25 a second, ten times any window stated.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -82,6 +82,13 @@
     assert silent.trail[0].gap, "silence is a streamer's, whatever was asked of it"
 
 
+def test_times_taken_are_bounded_where_no_budget_prunes_them():
+    front = Front(extra_tries=None)
+    front.c.taken.extend(range(10**5))
+    front.want()
+    assert len(front.c.taken) == 10**5 and front.c.taken[-1] == front.now
+
+
 def test_a_report_said_again_does_not_drown_the_notes():
     front = Front(streamers=1)
     old = [front.want(top=0) for _ in range(5)]
