--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -158,7 +158,7 @@
         self.steps = {name: self._steps(plan, self.rates[name]) for name, plan in deployment.plans.items()}
         self.played = set()  # titles that came to play
         self.jam = None, {}  # (when, {what was asked for: draws}) of playbacks that found no place just now
-        self.taken, self.extra = deque(maxlen=10**5), deque(maxlen=10**5)  # times of those taken, of further tries
+        self.taken, self.extra = deque(maxlen=10**5), deque(maxlen=10**5)  # times of those taken, later tries
         self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
         self.lives = deque(maxlen=64)  # how long playbacks played
