--- a/terndrift/platform/feed.py
+++ b/terndrift/platform/feed.py
@@ -10,7 +10,7 @@
 WAIT = 1000
 # Seconds more until a call that brought nothing is given up.
 SLACK = 0.4
-# Seconds between calls that failed: the feed is asked as soon as it can answer again.
+# Seconds after a call that broke: the feed is asked as soon as it can answer again.
 AGAIN = 0.1
 LARGEST = 4 * 1024 * 1024  # a list of thousands of streamers
 
