A row of the list that can't be read no longer stops the control feed

Found on reading: service._event passed such a row over with a warning, and then its log line read the same row again and raised KeyError; Feed.take never counted the event as held, and asked for it and applied it ten times a second from then on, with all later ones behind it. The line now names what was read. The new test ran into its time limit before.

--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -43,7 +43,7 @@
         members = event.get("members")
         if members is None:
             return
-        entries = []
+        entries, said = [], []
         for row in members["hosts"]:
             try:
                 entry, name, address = settings.listed(row, self.told.layout, self.clock)
@@ -52,12 +52,12 @@
                 continue
             self.carrier.listed(entry, name, address)
             entries.append(entry)
+            said.append((name, entry.standing.name))
         whole = bool(members.get("whole"))
         if whole:
             self.carrier.only({e.id for e in entries if e.standing is not Standing.GONE})
         self.host.do(self.core.list_changed, entries, whole, self.old)
-        self.log.info("list", n=event.get("n"), whole=whole,
-                      changed=[(r["host"], r["health"]) for r in members["hosts"]][:20])
+        self.log.info("list", n=event.get("n"), whole=whole, changed=said[:20])
 
     def start(self):
         """Within a running loop: opens the front. Raises OSError without the port, Malformed."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -479,6 +479,15 @@
     world.said.clear()
 
 
+@in_world
+async def test_a_row_that_can_not_be_read_is_told_and_the_others_count_once(world):
+    world.feed.tell({"health": "up"}, world.streamers[0].row("draining"))
+    await until(lambda: world.service.feed.held == 2)
+    assert world.by_name("s-00000000").listed.standing is Standing.DRAINING
+    assert [why["why"] for level, _, why in world.said if level == "warning"] == [
+        "a row of the list: KeyError 'host'"]
+
+
 @in_world
 async def test_told_to_end_it_goes_on_and_then_has_a_last_word_for_everything(world):
     viewer, late = await world.viewer(), await world.viewer()
