One piece for what was written twice around the platform, and what nobody used gone

- core.host.Host.tell_late: a held loop is told in one place.
- http.client.connect: one way to connect a stream within a time; Call.open and the platform's carrier call it.
The carrier no longer loses count of connections under way when no descriptor is left.
- front: one way to reject, Counter in place of a loop, no flag parameter.
Gone: Told.idle, three unused words.
- tests: one until, one in_world; World(how=...) in place of five loops.

--- a/terndrift/core/host.py
+++ b/terndrift/core/host.py
@@ -5,6 +5,8 @@
 from tornado.ioloop import IOLoop
 
 SECOND = 1_000_000_000
+# A loop later than this for a timer is told: answers are given 120 ms before they are due at the latest.
+HELD = SECOND // 10
 
 
 class Clock:
@@ -38,7 +40,7 @@
         self.core, self.clock = core, clock
         self.timer, self.timer_at = None, None
         self.after = lambda: None  # called after each step: a carrier may have gathered what is to be sent
-        self.late = 0  # ns that the loop was late for a timer at most, for whoever asks
+        self.late = 0  # ns that the loop was late for a timer at most, since it was last told
 
     def do(self, call, *args):
         result = call(self.clock.now(), *args)
@@ -64,6 +66,11 @@
         self._arm()
         self.after()
 
+    def tell_late(self, log):
+        late, self.late = self.late, 0
+        if late > HELD:
+            log.warning("loop held", ms=late // 1_000_000)
+
     def stop(self):
         if self.timer is not None:
             IOLoop.current().remove_timeout(self.timer)
--- a/terndrift/http/client.py
+++ b/terndrift/http/client.py
@@ -70,6 +70,19 @@
         self.free.clear()
 
 
+async def connect(stream, address, within):
+    """Connects a new IOStream to 'host:port' within so many seconds; raises Unreached. Closed if it can't."""
+    host, _, port = address.rpartition(":")
+    try:
+        await asyncio.wait_for(stream.connect((host, int(port))), within)
+    except (TimeoutError, StreamClosedError, OSError, ValueError) as wrong:
+        stream.close()
+        raise Unreached(str(wrong) or type(wrong).__name__) from None
+    except BaseException:  # given up meanwhile
+        stream.close()
+        raise
+
+
 class Call(httputil.HTTPMessageDelegate):
     """One request on one connection, with the answer handed on piece by piece."""
 
@@ -85,13 +98,8 @@
         if not fresh and (stream := self.pool.take(self.address)):
             self.stream = stream
             return
-        host, _, port = self.address.rpartition(":")
         self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), read_chunk_size=65536)
-        try:
-            await asyncio.wait_for(self.stream.connect((host, int(port))), within)
-        except (TimeoutError, StreamClosedError, OSError, ValueError) as wrong:
-            self.stream.close()
-            raise Unreached(str(wrong) or type(wrong).__name__) from None
+        await connect(self.stream, self.address, within)
         self.pool.opened += 1
         self.stream.set_nodelay(True)
 
--- a/terndrift/platform/carrier.py
+++ b/terndrift/platform/carrier.py
@@ -7,8 +7,8 @@
 import asyncio
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import StreamClosedError
 
+from terndrift.http.client import Unreached, connect
 from terndrift.interface import Ending, Standing
 from terndrift.platform import message as m
 from terndrift.platform.message import Unusable, encode
@@ -43,9 +43,9 @@
 class Peer:
     """A streamer and the connections to it."""
 
-    def __init__(self, id, name, address, gone):
-        self.id, self.name, self.address, self.gone = id, name, address, gone
-        self.started = 0
+    def __init__(self, entry, name, address):
+        self.id, self.started, self.name, self.address = entry.id, entry.started, name, address
+        self.gone = False
         self.wires = {}  # Wire -> {playback's id: Out} of tries on it
         self.connecting = 0
         self.playing = {}  # id -> Carried
@@ -74,8 +74,7 @@
         if peer is None:
             if gone:
                 return
-            peer = self.peers[entry.id] = Peer(entry.id, name, address, gone)
-            peer.started = entry.started
+            peer = self.peers[entry.id] = Peer(entry, name, address)
         if entry.started != peer.started or address and address != peer.address and not gone:
             # started anew: what played there before is over, and its connections are of the old process
             self._cut(peer, "started anew")
@@ -149,17 +148,13 @@
     # Connections.
 
     async def _open(self, peer):
-        """A new Wire; raises OSError (turned away at once) or TimeoutError."""
+        """A new Wire; raises Unreached."""
         peer.connecting += 1
-        to = stream()
         try:
-            host, _, port = peer.address.rpartition(":")
-            await asyncio.wait_for(to.connect((host, int(port))), self.told.connect / SECOND)
-        except StreamClosedError as wrong:
-            raise OSError(str(wrong)) from None
-        except BaseException:
-            to.close()
-            raise
+            to = stream()
+            await connect(to, peer.address, self.told.connect / SECOND)
+        except OSError as wrong:  # no descriptor is left for it
+            raise Unreached(str(wrong)) from None
         finally:
             peer.connecting -= 1
         wire = Wire(to, self.host.clock, lambda w, got: [self._heard(peer, w, one) for one in got],
@@ -173,7 +168,7 @@
     async def _connect_and_send(self, out, rung, due):
         try:
             wire = await self._open(out.peer)
-        except (OSError, TimeoutError, ValueError):
+        except Unreached:
             return self._over(out, Ending.UNREACHED)
         return self._send(out, wire, rung, due)
 
@@ -225,9 +220,8 @@
                     return
                 try:
                     fresh = await self._open(peer)
-                except (OSError, TimeoutError, ValueError) as wrong:
-                    self.log.info("streamer not reached", streamer=peer.name,
-                                  why=str(wrong) or type(wrong).__name__)
+                except Unreached as wrong:
+                    self.log.info("streamer not reached", streamer=peer.name, why=str(wrong))
                     continue
                 spare = [w for w, tries in peer.wires.items() if w is not fresh and not tries]
                 for wire in spare[:max(0, len(peer.wires) - MOST)]:  # the oldest, which may be dead
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -1,7 +1,7 @@
 """The front that viewers reach: set-ups in, one answer each, and what stands and is over released."""
 
 import socket
-from collections import deque
+from collections import Counter, deque
 
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
@@ -93,19 +93,18 @@
     def _heard(self, wire, got):
         # a set-up that is taken back in the same breath, or comes twice, is never taken: guards streamers
         # against hundreds of them at once; no good viewer's is, as it waits for its answer
-        back, often = {one.id for one in got if one.type == m.RELEASE}, {}
-        for one in got:
-            if one.type == m.SET_UP:
-                often[one.id] = often.get(one.id, 0) + 1
+        back = {one.id for one in got if one.type == m.RELEASE}
+        often = Counter(one.id for one in got if one.type == m.SET_UP)
         for message in got:
-            if wire.up():
-                taken = message.type != m.SET_UP or message.id not in back and often[message.id] == 1
-                self._message(wire, message, taken)
+            if not wire.up():
+                return
+            if message.type == m.SET_UP and (message.id in back or often[message.id] > 1):
+                wire.send(release(message.id, m.UNUSABLE))
+            else:
+                self._message(wire, message)
 
-    def _message(self, wire, message, taken):
-        if not taken:
-            wire.send(release(message.id, m.UNUSABLE))
-        elif message.type == m.SET_UP:
+    def _message(self, wire, message):
+        if message.type == m.SET_UP:
             self._set_up(wire, message)
         elif message.type == m.RELEASE:
             self._released(wire, message.id)
@@ -131,10 +130,10 @@
             wire.send(release(message.id, m.UNUSABLE))
             return
         if self.leaving:
-            wire.send(release(message.id, m.REJECTED))
+            self._reject(wire, message.id, 0)
             return
         if come_back := self.gate.enter(now, wire):
-            wire.send(release(message.id, m.REJECTED, (m.ADVICE, str(come_back // MS))))
+            self._reject(wire, message.id, come_back)
             return
         viewing = Viewing(message.id, wire, said.passed)
         self.held[message.id] = self.wires[wire][message.id] = viewing
@@ -242,10 +241,13 @@
         del self.held[viewing.id]
         if answer.kind is Kind.ABORTED:
             wire.send(release(viewing.id, m.ABORTED))
-        elif answer.come_back:
-            wire.send(release(viewing.id, m.REJECTED, (m.ADVICE, str(answer.come_back // MS))))
         else:
-            wire.send(release(viewing.id, m.REJECTED))
+            self._reject(wire, viewing.id, answer.come_back)
+
+    def _reject(self, wire, id, come_back):
+        """`come_back`: ns to stay away, 0: no advice."""
+        advice = [(m.ADVICE, str(come_back // MS))] if come_back else []
+        wire.send(release(id, m.REJECTED, *advice))
 
     def _forget(self, viewing):
         self.held.pop(viewing.id, None)
--- a/terndrift/platform/message.py
+++ b/terndrift/platform/message.py
@@ -15,18 +15,17 @@
 
 # Types of messages.
 SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, NOTE = 1, 6, 9, 12, 16, 44
-MOVE, TEST, TESTED, RUNG = 51, 52, 53, 60
+TEST, TESTED, RUNG = 52, 53, 60
 # Codes of parameters.
 PLAN, WAIT, TITLE, FIGURES, ADVICE, NOTE_NAME = 16, 19, 28, 31, 34, 37
 REPORT, HINT, RUNG_NO, NOTE_VALUE, CAUSE, DESCRIPTION = 43, 46, 49, 52, 58, 61
 # Causes of releases that are sent. 42: rejected, harmless to try again; any but 34, 42 and 102: aborted.
-OVER, ABORTED, CUT, REJECTED = 16, 38, 41, 42
+OVER, ABORTED, REJECTED = 16, 38, 42
 UNUSABLE = 100
 # What a streamer's release says of a set-up that it has not answered; any other: as 41.
 TRY_ENDINGS = {34: Ending.FULL, 47: Ending.ERRED, 102: Ending.NEVER_SENT, 41: Ending.BROKEN}
-# The same of what plays.
+# The same of what plays. 31: ended by its viewer or moved, who is owed no release.
 PLAY_ENDINGS = {16: Ending.PLAYED_OUT, 31: Ending.CALLED_OFF, 41: Ending.BROKEN}
-CALLED_OFF_CAUSE = 31  # ended by its viewer or moved: the viewer is owed no release
 
 LONGEST = 16 * 1024  # "no message exceeds 16 KiB": of what the length counts
 HEAD = struct.Struct(">HB8s")
--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -1,11 +1,10 @@
 """A controller on the platform as a process: start, SIGHUP (a new configuration), SIGTERM (a restart)."""
 
 import asyncio
-import gc
 import signal
 import sys
 
-from terndrift import logs
+from terndrift import logs, process
 from terndrift.core.core import Core
 from terndrift.core.host import Clock, Host
 from terndrift.interface import Standing
@@ -16,10 +15,6 @@
 from terndrift.terms import Malformed
 
 SECOND = 1_000_000_000
-# As in terndrift.service: collections of all that lives hold the loop.
-COLLECT = (10_000, 5, 400)
-# A loop later than this for a timer is told.
-HELD = SECOND // 10
 # SIGKILL comes no sooner after SIGTERM than the longest wait of a viewer, counted as 3 s where it is longer,
 # and 0.7 s more (PROTOCOL): all is answered and released so many seconds before.
 LONGEST_WAIT, BEFORE = 3.0, 0.2
@@ -75,9 +70,7 @@
         while True:
             await asyncio.sleep(0.25)
             try:
-                if self.host.late > HELD:
-                    self.log.warning("loop held", ms=self.host.late // 1_000_000)
-                self.host.late = 0
+                self.host.tell_late(self.log)
                 self.front.every_quarter()
                 self.carrier.every_quarter()
             except Exception as fault:  # the next quarter must come all the same
@@ -117,10 +110,9 @@
         loop.add_signal_handler(
             signal.SIGTERM, lambda: self.tasks.append(asyncio.ensure_future(self.drain())))
         self.start()
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*COLLECT)
+        process.stands()
         await self.stopped.wait()
+        process.goes_down(loop, (signal.SIGHUP, signal.SIGTERM))
         self.log.info("stopped")
 
 
--- a/terndrift/platform/settings.py
+++ b/terndrift/platform/settings.py
@@ -22,7 +22,6 @@
     deployment: object
     layout: object
     abandons: dict  # plan -> ns
-    idle: int  # ns after which streamers close idle connections
     connect: int  # ns to make a connection to a streamer
     tell_every: int  # ns between what a streamer says of its link; 0: never
     drain_grace: int  # ns
@@ -66,7 +65,7 @@
     return Told(
         name=value["name"], listen=address(value["listen"], "listen"), feed=value["feed"],
         sockets=int(limits.get("sockets", 1024)), deployment=replace(made, seed=seed), layout=layout,
-        abandons=terms.abandons(flat), idle=terms.whole(flat, "ceilings.keepalive_ns", 30 * 10**9),
+        abandons=terms.abandons(flat),
         connect=terms.whole(flat, "ceilings.connect_timeout_ns", 250 * 10**6),
         tell_every=terms.whole(flat, "family_info.reports_every_ns", 0),
         drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0), known=events)
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -1,14 +1,13 @@
 """A controller as a process: its records, its list, its core and its fronts, and how it stops."""
 
 import asyncio
-import gc
 import os
 import signal
 import time
 from functools import partial
 from types import SimpleNamespace
 
-from terndrift import deployment, logs, records
+from terndrift import deployment, logs, process, records
 from terndrift.catalogue.admin import BODY, Admin
 from terndrift.catalogue.service import STREAM, Catalogue, Keeper, over
 from terndrift.catalogue.source import Source
@@ -34,13 +33,6 @@
 from terndrift.xds.sources import FILES, check
 
 SECOND = 1_000_000_000
-# Objects made between collections, and collections of the young before one of all. Python's own 700, 10, 10
-# stop the loop for tens of ms at a thousand playbacks; garbage in circles is little here (tasks, exceptions).
-# A list of 10,000 that changes a thousand times a second has the middle ones take tens of ms all the same:
-# 7 to 65 ms in 30 s of that (benchmarks.xds), 37 to 102 with 20 and 50 of 20,000.
-COLLECT = (10_000, 5, 400)
-# A loop later than this for a timer is told: answers are given 120 ms before they are due at the latest.
-HELD = SECOND // 10
 # Titles whose cells and rates are kept worked out: what is asked for in an hour, not the whole catalogue.
 MOST_KNOWN = 10_000
 
@@ -269,17 +261,12 @@
         while True:
             await asyncio.sleep(1.0)
             try:
-                self._lateness()
+                self.host.tell_late(self.log)
                 self.front.every_second()
                 await self.sources.every_second()
             except Exception as fault:  # the next second must come all the same
                 self.log.error("fault of a front", exc_info=fault)
 
-    def _lateness(self):
-        late, self.host.late = self.host.late, 0
-        if late > HELD:
-            self.log.warning("loop held", ms=late // 1_000_000)
-
     async def drain(self):
         """Takes nothing new, lets what is awaited be answered and what plays play for the drain time."""
         self.log.info("draining", open=self.core.open, playbacks=len(self.core.held))
@@ -333,14 +320,7 @@
             starting.cancel()
             return
         await starting
-        # what stands now stands for good: the collector need not go through it again and hold the loop up
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*COLLECT)
+        process.stands()
         await self.stopped.wait()
-        # a signal that comes while the process goes down must not be told as its death by that signal: loop
-        # and interpreter would put back the system's own way with it as they close, unless it is ignored
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.remove_signal_handler(number)
-            signal.signal(number, signal.SIG_IGN)
+        process.goes_down(loop, (signal.SIGTERM, signal.SIGINT))
         self.log.info("stopped")
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -6,8 +6,9 @@
 import os
 import tempfile
 from collections import deque
+from functools import partial
 
-from world import Log
+import world
 
 from terndrift.platform import message as m
 from terndrift.platform import settings
@@ -37,9 +38,9 @@
 class Streamer:
     """`how` says what becomes of a set-up: see `_set_up`. Keeps what it was sent."""
 
-    def __init__(self, name, cell):
-        self.name, self.cell, self.how, self.heard, self.writers = name, cell, "plays", [], []
-        self.server, self.port, self.news = None, 0, asyncio.Event()
+    def __init__(self, name, cell, how):
+        self.name, self.cell, self.how, self.heard, self.writers = name, cell, how, [], []
+        self.server, self.port = None, 0
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -57,7 +58,6 @@
                 buffer += data
                 for message in messages(buffer):
                     self.heard.append(message)
-                    self.news.set()
                     if message.type == m.SET_UP:
                         self._set_up(writer, message)
         writer.close()
@@ -160,28 +160,30 @@
         return self.heard.popleft()
 
     def ask(self, id=None, plan="free", wait="3000", title="00112233aabbccdd", hint="9000.0",
-            figures="home:0;copies:4;top:2;viewer:00000000b4d65521", description=b"what I can play", more=()):
+            figures="home:0;copies:4;top:2;viewer:00000000b4d65521", description=b"what I can play"):
         id = id or self.world.id()
         self.send(encode(m.SET_UP, id, (m.PLAN, plan), (m.WAIT, wait), (m.TITLE, title), (m.HINT, hint),
-                         (m.FIGURES, figures), (m.DESCRIPTION, description), *more))
+                         (m.FIGURES, figures), (m.DESCRIPTION, description)))
         return id
 
 
 class World:
-    def __init__(self, streamers=2, more=None):
-        self.folder, self.count, self.more = tempfile.TemporaryDirectory(), 0, more or {}
-        self.streamers = [Streamer(f"s-{n:08x}", n) for n in range(streamers)]
+    """`how`: what all streamers do with a set-up. No error may be logged in a test that ends well."""
+
+    def __init__(self, streamers=2, how="plays"):
+        self.folder, self.count = tempfile.TemporaryDirectory(), 0
+        self.streamers = [Streamer(f"s-{n:08x}", n, how) for n in range(streamers)]
         self.path, self.said = os.path.join(self.folder.name, "config.json"), []
 
     def id(self):
         self.count += 1
         return self.count.to_bytes(8, "big")
 
-    def write(self, **changed):
+    def write(self):
         value = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
                  "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 128}, "feed": self.feed.address,
                  "known": {"n": len(self.feed.events), "events": list(self.feed.events)},
-                 "settings": {**SETTINGS, **self.more}, **changed}
+                 "settings": SETTINGS}
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(value, file)
 
@@ -192,19 +194,20 @@
             await streamer.start()
         self.feed.tell(*(s.row() for s in self.streamers), whole=True)
         self.write()
-        self.service = Service(settings.read(self.path), Log(self.said), self.path)
+        self.service = Service(settings.read(self.path), world.Log(self.said), self.path)
         self.core, self.carrier = self.service.core, self.service.carrier
         # what just started may find streamers that just started too; tests of that say so themselves
         self.core.controller.began_empty = False
         self.service.start()
         return self
 
-    async def __aexit__(self, *_):
+    async def __aexit__(self, wrong, *_):
         self.service.close()
         for streamer in self.streamers:
             await streamer.die()
         self.feed.server.close()
         self.folder.cleanup()
+        assert wrong or not self.faults()
 
     async def viewer(self):
         return await Viewer(self).connect()
@@ -224,22 +227,4 @@
         return [s for s in self.said if s[0] == "error"]
 
 
-async def until(condition):
-    while not condition():
-        await asyncio.sleep(0.005)
-
-
-def in_world(test=None, **made):
-    """Runs a coroutine test within a World; no error may have been logged."""
-    if test is None:
-        return lambda test: in_world(test, **made)
-
-    def run():
-        async def inside():
-            async with World(**made) as world:
-                await asyncio.wait_for(test(world), 60)
-                assert not world.faults()
-        asyncio.run(inside())
-
-    run.__name__, run.__doc__ = test.__name__, test.__doc__
-    return run
+in_world = partial(world.in_world, kind=World)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,7 +6,7 @@
 import socket
 import time
 
-from world import in_world
+from world import in_world, until
 
 from terndrift.hints import cmcd, cmsd
 from terndrift.hints.meaning import kbit
@@ -20,11 +20,6 @@
     return [facts for _, what, facts in world.told if what == event]
 
 
-async def until(condition):
-    while not condition():
-        await asyncio.sleep(0.005)
-
-
 @in_world
 async def test_a_title_plays_whole_and_hints_travel_both_ways(world):
     player = world.player(visit="v1")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,8 +12,8 @@
 from hypothesis import given
 from hypothesis import settings as hypothesis
 from hypothesis import strategies as st
-from platform_world import SETTINGS, in_world, until
-from world import Log
+from platform_world import SETTINGS, in_world
+from world import Log, until
 
 from terndrift import terms
 from terndrift.core.carried import Stage
@@ -254,10 +254,8 @@
     assert (await viewer.hear()).cause == m.REJECTED
 
 
-@in_world
+@in_world(how="silent")
 async def test_a_streamer_that_is_silent_is_given_up_and_told_so(world):
-    for streamer in world.streamers:
-        streamer.how = "silent"
     viewer = await world.viewer()
     id = viewer.ask()
     answer = await viewer.hear()
@@ -266,10 +264,8 @@
         await until(lambda s=streamer: s.ids(m.RELEASE) == [id])
 
 
-@in_world
+@in_world(how="silent")
 async def test_the_next_try_waits_until_the_streamer_has_heard_that_one_is_given_up(world):
-    for streamer in world.streamers:
-        streamer.how = "silent"
     kept, carrier.CONFIRM = carrier.CONFIRM, 30
     try:
         viewer = await world.viewer()
@@ -285,20 +281,16 @@
         carrier.CONFIRM = kept
 
 
-@in_world
+@in_world(how="plays twice")
 async def test_answers_beyond_the_one_that_is_due_are_passed_over(world):
-    for streamer in world.streamers:
-        streamer.how = "plays twice"
     viewer = await world.viewer()
     await world.plays(viewer)
     viewer.send(encode(m.TEST, ID, (m.CAUSE, b"\0")))
     assert (await viewer.hear()).type == m.TESTED
 
 
-@in_world
+@in_world(how="silent")
 async def test_a_viewer_that_gives_up_or_goes_frees_the_try(world):
-    for streamer in world.streamers:
-        streamer.how = "silent"
     viewer = await world.viewer()
     ids = [viewer.ask() for _ in range(40)]
     await until(lambda: world.core.open == 40)
@@ -330,10 +322,8 @@
     assert not [h for s in world.streamers for h in s.heard if h.type == m.SET_UP and h.id != id]
 
 
-@in_world
+@in_world(how="silent")
 async def test_two_under_one_id_are_both_given_up(world):
-    for streamer in world.streamers:
-        streamer.how = "silent"
     viewer = await world.viewer()
     id = viewer.ask()
     viewer.ask(id=id, description=b"another")
@@ -536,5 +526,3 @@
     run = subprocess.run([sys.executable, "-m", "terndrift.platform"], capture_output=True, text=True,
                          env={k: v for k, v in os.environ.items() if k != "LB_CONFIG"})
     assert run.returncode == 1 and "LB_CONFIG" in run.stderr
-
-
--- a/tests/world.py
+++ b/tests/world.py
@@ -151,6 +151,11 @@
         return lambda event, **facts: self.told.append((level, event, facts))
 
 
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
 def in_world(test=None, kind=World, **made):
     """Runs a coroutine test within a World."""
     if test is None:
