--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 .PHONY: demo test lint rehearse
 
 .venv/done: requirements.txt pyproject.toml
-	test -d .venv || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/pip --version >/dev/null 2>&1 || { rm -rf .venv && python3 -m venv .venv; }
+	.venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/built
 	.venv/bin/pip -q install --no-deps -e .
 	touch .venv/done
 
