The list is asked for where it does not come by itself

Ruled out: the same copy with the list pushed keeps all rules, so it is not the drain code. Change: the decisions count the calls to make (decide.py: list_calls, list_failed), by rank at the start, again after failures with a pause that doubles; the adapter says subscribe. Nothing acts where the list comes by itself; tests show both sides.

--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -17,9 +17,13 @@
         self.deployment, self.report_names, self.layout = terms.deployment(settings)
         self.controller = Controller(self.deployment, now)
         self.told = {}  # playback id -> [tries, rung] as last sent
+        self.list_calls = 0
         self.ring_at = None
 
     def encode(self, changed, out):
+        if self.controller.list_calls > self.list_calls:
+            self.list_calls = self.controller.list_calls
+            out.append("subscribe on=1")
         for pb in changed:
             told = self.told.setdefault(pb.id, [0, pb.plan.floor])
             if pb.state in (State.TRYING, State.PLAYING) and pb.rung != told[1]:
@@ -89,7 +93,7 @@
     def endpoints(self, inst, now, f):
         how = whole(f, "how")
         if how == 3:
-            return []
+            return inst.controller.list_failed(now)
         if how not in (0, 1, 2):
             raise Malformed(f"'how={how}' is not known")
         table = whole(f, "table")
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -164,9 +164,16 @@
         self.lives = deque(maxlen=64)  # how long playbacks played
         self.draws, self.usual_kb, self.wake_at, self.next_scan = 0, 1.0, None, 0
         self.changed = {}  # playbacks to hand back, in order
+        # a list that must be asked for: by rank over a quarter of the time there is, as one service answers
+        # all and many controllers start at once
+        rules = deployment.rules
+        self.list_calls, self.list_gap, self.list_at = 0, 0, None
+        if rules.list_within:
+            self.list_at = now + rules.list_within // 4 * deployment.rank // deployment.controllers
 
     def list_changed(self, now, entries, whole, old):
         self.counts.clear()  # the paper's reset: a newcomer must not draw all until its count catches up
+        self.list_gap = 0
         if whole:
             listed = {e.id for e in entries}
             off = [s.listed for id, s in self.streamers.items() if id not in listed]
@@ -198,6 +205,14 @@
                 self.heard.pop(s, None)
         return self.wake(now)
 
+    def list_failed(self, now):
+        """The call for the list failed, or what it began broke off. Guards against a list held for good; the
+        pause doubles, by chance, so that many do not ask a service that is out of reach in step."""
+        if within := self.d.rules.list_within:  # a failed call has four times as long: several fit in
+            self.list_gap = min(max(SECOND, 2 * self.list_gap), max(SECOND, within // 2))
+            self.list_at = now + int(self.list_gap * (0.5 + self._chance()))
+        return self.wake(now)
+
     def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved, rates=None):
         pb = self._take(now, id, plan, title, cells, top, time_left, hint, rates)
         self.taken.append(now)
@@ -339,7 +354,9 @@
                 self.open[p] = self.open.pop(p)
                 if not self._place(now, p) and now >= p.hold_until:
                     self._reject(now, p)
-        self.wake_at = self.next_scan if self.open or self.stale else None
+        if self.list_at is not None and now >= self.list_at:
+            self.list_calls, self.list_at = self.list_calls + 1, None
+        self.wake_at = self.next_scan if self.open or self.stale else self.list_at
         changed, self.changed = self.changed, {}
         return list(changed)
 
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -11,9 +11,11 @@
     state ABORTED   answer "failed"
 
 and nothing for HELD and ENDED. `Controller.wake_at` is when the host should call `wake` next (None:
-not needed); an early or a late call does no harm. The calls:
+not needed); an early or a late call does no harm. `Controller.list_calls` counts the calls for the
+server list, from then on with its changes: higher than before, it is to be asked for. The calls:
 
     list_changed(now, entries, whole, old)     the server list: all of it or changes; old: a cached copy
+    list_failed(now)                           what was asked for did not come, or comes no more
     wanted(now, id, plan, title, cells, top, time_left, hint, moved, rates)    a viewer asks; the
                                                title's holders are the streamers of these cells
                                                (a frozenset); rates: its own ladder, kB a second,
@@ -109,6 +111,7 @@
     longest_advice: int  # clients follow advice on coming back up to this; 0: none can be given
     probes: bool
     peers: bool
+    list_within: int = 0  # the list must be asked for, at least this often if it does not come; 0: it comes
 
 
 @dataclass(frozen=True)
--- a/terndrift/terms.py
+++ b/terndrift/terms.py
@@ -127,6 +127,7 @@
     kinds = [k for k in f.get("host_types", "").split(",") if k]
     extra = int(number(f, "rules.free_resends", -1))
     share = number(f, "rules.repeat_ratio", 0)
+    asked = f.get("registry_mode") == "subscribe"
     allows = {k: f.get("ceilings." + k) in ("true", "1") for k in ("retry_after", "probes", "peer_messages")}
     made = Deployment(
         seed=whole(f, "seed", 0),
@@ -160,6 +161,7 @@
             longest_advice=whole(f, "ceilings.max_retry_after_ns", 0) if allows["retry_after"] else 0,
             probes=allows["probes"],
             peers=allows["peer_messages"],
+            list_within=max(1, whole(f, "rules.ask_within_ns", 1)) if asked else 0,
         ),
     )
     layout = Layout(max(1, whole(f, "family_info.places", 1)), max(1, whole(f, "family_info.racks", 1)))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -63,3 +63,13 @@
     monkeypatch.setattr("terndrift.decide.Controller.wanted", lambda *a, **k: 1 / 0)
     wrong, out = talk(ENLIST, ASK)
     assert wrong is None and "die reason_text=ZeroDivisionError" in out
+
+
+def test_a_list_that_must_be_asked_for_is_subscribed_to_and_again_after_a_failure():
+    asked = ENLIST.replace("profiles.count", "registry_mode=subscribe rules.ask_within_ns=8000000000 profiles.count")
+    failed = "sync now_ns=1100000000\nswitch_to who=3\nendpoints how=3 index=0 table=0\ngo\n"
+    later = "sync now_ns=4000000000\nswitch_to who=3\nring handle=1\ngo\n"
+    wrong, out = talk(asked, failed, later)
+    assert wrong is None and out.count("subscribe on=1") == 2
+    wrong, out = talk(ENLIST, failed, later)
+    assert wrong is None and "subscribe" not in out
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -295,3 +295,29 @@
     front.c._order = lambda now, able: looked.append(len(able)) or able
     front.want(cells=2000)
     assert looked[0] <= 300
+
+
+def test_a_list_that_must_be_asked_for_is_asked_for_by_turns_and_again_when_it_fails():
+    fronts = [Front(rank=rank, controllers=4, list_within=10 * S) for rank in range(4)]
+    for front in fronts:
+        assert front.c.list_calls == 0 or front.d.rank == 0
+        front.pass_time(3 * S)
+        assert front.c.list_calls == 1
+    front, pauses = fronts[0], []
+    for _ in range(5):
+        front.c.list_failed(front.now)
+        calls, since = front.c.list_calls, front.now
+        while front.c.list_calls == calls:
+            front.pass_time(50 * MS)
+        pauses.append(front.now - since)
+    assert pauses[0] <= 2 * S and max(pauses) <= 8 * S and pauses[-1] > pauses[0], "later, in time"
+    front.list([line(0)])
+    front.pass_time(60 * S)
+    assert front.c.list_calls == calls + 1, "while it comes it is not asked for"
+
+
+def test_a_list_that_comes_by_itself_is_never_asked_for():
+    front = Front()
+    front.c.list_failed(front.now)
+    front.pass_time(60 * S)
+    assert front.c.list_calls == 0 and front.c.wake_at is None
