--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -66,7 +66,8 @@
 
 
 def test_a_list_that_must_be_asked_for_is_subscribed_to_and_again_after_a_failure():
-    asked = ENLIST.replace("profiles.count", "registry_mode=subscribe rules.ask_within_ns=8000000000 profiles.count")
+    asked = ENLIST.replace(
+        "profiles.count", "registry_mode=subscribe rules.ask_within_ns=8000000000 profiles.count")
     failed = "sync now_ns=1100000000\nswitch_to who=3\nendpoints how=3 index=0 table=0\ngo\n"
     later = "sync now_ns=4000000000\nswitch_to who=3\nring handle=1\ngo\n"
     wrong, out = talk(asked, failed, later)
