Viewers of a live title gather and share a stream

Change: Plan.adds; own viewers at one streamer and rung ask for one stream and a part of it each; a holder with own viewers goes first, near ties by the title; one stream goes up together. Nothing acts where adds is 1; tests show both sides.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -114,6 +114,11 @@
     def use(self, now):
         return self.asked(now) / self.full
 
+    def mates(self, pb):
+        """Own viewers there of the same live title: they share a stream for each rung."""
+        same = pb.plan.adds < 1 and self.playbacks
+        return [p for p in same if p.title == pb.title and p.plan is pb.plan] if same else []
+
     def stuck(self, now):
         """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
         # half: less than a weak uplink was ever seen to give while its neighbours went on well
@@ -164,12 +169,9 @@
         self.lives = deque(maxlen=64)  # how long playbacks played
         self.draws, self.usual_kb, self.wake_at, self.next_scan = 0, 1.0, None, 0
         self.changed = {}  # playbacks to hand back, in order
-        # a list that must be asked for: by rank over a quarter of the time there is, as one service answers
-        # all and many controllers start at once
-        rules = deployment.rules
         self.list_calls, self.list_gap, self.list_at = 0, 0, None
-        if rules.list_within:
-            self.list_at = now + rules.list_within // 4 * deployment.rank // deployment.controllers
+        if within := deployment.rules.list_within:  # by rank: many start at once, and one service answers all
+            self.list_at = now + within // 4 * deployment.rank // deployment.controllers
 
     def list_changed(self, now, entries, whole, old):
         self.counts.clear()  # the paper's reset: a newcomer must not draw all until its count catches up
@@ -385,7 +387,7 @@
         able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s, len(fresh))]
         if not plan.repeatable:
             able = [s for s in able if not s.gap] or able
-        order = self._order(now, able)
+        order = self._order(now, able, pb)
         for s in order:
             rung = self._rung(now, pb, s)
             if rung is not None:
@@ -407,11 +409,18 @@
             self.jam[1][alike] = self.draws - before
         return False
 
-    def _order(self, now, able):
+    def _order(self, now, able, pb):
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
         use = {s: s.use(now) for s in able}
-        tie = min(use.values(), default=0.0) + 0.05
-        return sorted(able, key=lambda s: (max(use[s], tie), self.counts.get(s, 0), use[s], self._chance()))
+        tie, live, counts = min(use.values(), default=0.0) + 0.05, pb.plan.adds < 1, self.counts
+        # least load scatters the viewers of a live title, and no stream is shared (DESIGN's first doubt): a
+        # holder where own ones play goes first, near ties go by the title, alike at every controller. Could
+        # harm where a few titles have nearly all viewers: the workload still goes before the title
+        if live:
+            title = zlib.crc32(pb.title.encode())
+            counts = {s: zlib.crc32(b"%d" % s.listed.id, title) * 2654435761 % 2**32 for s in able}
+        return sorted(able, key=lambda s: (
+            live and not s.mates(pb), max(use[s], tie), counts.get(s, 0), use[s], self._chance()))
 
     def seated(self, plan, title):
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
@@ -514,10 +523,21 @@
 
     def _note_own(self, now, s):
         s.rack.known, self.jam = (None, 0.0), (None, {})
-        s.asks.append((now, sum([pb.rates[pb.rung] for pb in s.playbacks])))
-        s.scale = sum([pb.plan.scale for pb in s.playbacks])
+        streams = self._streams([(pb, s) for pb in s.playbacks], lambda pb: pb.rung)
+        s.asks.append((now, sum([pbs[0].rates[pbs[0].rung] * adds for pbs, _, adds in streams])))
+        s.scale = sum([pbs[0].plan.scale * adds for pbs, _, adds in streams])
         self.used.pop(s, None) if not s.playbacks else self.used.setdefault(s)
 
+    def _streams(self, playing, alike):
+        """[playbacks, streamer, rates that they ask together]: viewers of a live title share a stream."""
+        streams = {}
+        for pb, s in playing:
+            key = (pb.title, pb.plan.name, alike(pb), s) if pb.plan.adds < 1 else pb
+            stream = streams.setdefault(key, [[], s, 1.0 - pb.plan.adds])
+            stream[0].append(pb)
+            stream[2] += pb.plan.adds
+        return list(streams.values())
+
     def _average(self):
         """Looks at streamers heard of or in use alone: a list may be a hundred times as long."""
         ready, rates = Standing.READY, self.d.ladder.rates
@@ -556,35 +576,38 @@
 
     def _fair(self, now, rack, pb=None, s=None):
         """The rungs that earn most when all own playbacks of a rack share it, a newcomer included."""
-        more = pb.plan.scale if pb else 0.0
+        more = pb.plan.scale * (pb.plan.adds if s.mates(pb) else 1) if pb else 0.0
         room = {at: self._budget(now, at, more * (at in (s, rack))) for at in [rack, *rack.streamers]}
         all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
         rungs, steps, drawn, free = {}, [], set(), room[rack]
-        for n, (p, at) in enumerate(all_of):
-            rung = rungs[p] = p.plan.floor
-            kb = p.rates[rung]
+        streams = self._streams(all_of, lambda p: p.top)  # whose viewers go up together
+        for n, (pbs, at, adds) in enumerate(streams):
+            p, rung = pbs[0], pbs[0].plan.floor
+            rungs.update(dict.fromkeys(pbs, rung))
+            kb = p.rates[rung] * adds
             room[at] -= kb
             free -= kb
             if rung < p.top:
-                steps.append((p.steps[rung][0], n, rung + 1))
+                steps.append((p.steps[rung][0] * len(pbs) / adds, n, rung + 1))
         heapq.heapify(steps)
         while steps and free > 0:
             _, n, rung = steps[0]
-            p, at = all_of[n]
-            kb, here = p.steps[rung - 1][1], room[at]
+            pbs, at, adds = streams[n]
+            p, here = pbs[0], room[at]
+            kb = p.steps[rung - 1][1] * adds
             tight, least = (rack, free) if free < here else (at, here)
             # the first step that does not fit is taken by chance, so that all controllers together fill it
             if kb <= least or tight not in drawn and p.luck * kb < least:
                 room[at] -= kb
                 free -= kb
-                rungs[p] = rung
+                rungs.update(dict.fromkeys(pbs, rung))
                 if rung < p.top:
-                    heapq.heapreplace(steps, (p.steps[rung][0], n, rung + 1))
+                    heapq.heapreplace(steps, (p.steps[rung][0] * len(pbs) / adds, n, rung + 1))
                     continue
             else:
                 drawn.add(tight)
             heapq.heappop(steps)
-            if p is pb:
+            if pb in pbs:
                 break  # its rung is settled, and only it is asked for
         return rungs
 
@@ -597,10 +620,11 @@
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
         free = min(self.MARK * s.full - s.asked(now), self.MARK * s.rack.limit(now) - s.rack.asked(now))
+        joins = [p.rung for p in s.mates(pb) if p.rung <= pb.top and p.rates[p.rung] * p.plan.adds <= free]
         if pb.rates[pb.plan.floor] > free:
-            return None
+            return max(joins, default=None)
         top = self._fair(now, s.rack, pb, s)[pb]
-        return next(r for r in range(top, -1, -1) if pb.rates[r] <= free)
+        return max([next(r for r in range(top, -1, -1) if pb.rates[r] <= free), *joins])
 
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -78,6 +78,7 @@
     seats: int  # playbacks of one title a controller may hold; 0: no cap
     startup_target: int  # time within which an answer is wanted
     repeatable: bool  # may be set up again and rejected without harm
+    adds: float = 1.0  # part of its rate a further viewer of a title adds at a streamer and rung; 1: all
 
 
 @dataclass(frozen=True)
--- a/terndrift/terms.py
+++ b/terndrift/terms.py
@@ -105,6 +105,8 @@
     seats = numbers(f, "family_info.class_seats", count)
     scales = numbers(f, "family_info.scale_by_class", count, 1.0)
     tops = numbers(f, "family_info.top_by_class", count, 1e9)
+    live = (f.get("family_info.class_live", "").split(",") + [""] * count)[:count]
+    adds = number(f, "family_info.shared_adds", 1)
     plans = {}
     for n in range(count):
         key = f"profiles.{n}."
@@ -117,6 +119,7 @@
             seats=int(seats[n]),
             startup_target=whole(f, key + "slo_ns", 0) or whole(f, key + "deadline_ns", 0),
             repeatable=f.get(key + "effect") == "idempotent",
+            adds=adds if live[n] in ("true", "1") else 1.0,
         )
     return plans
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,6 +14,7 @@
     plans = {
         "free": Plan("free", 1.0, 1.0, 0, 3, 0, S, True),
         "paid": Plan("paid", 2.0, 1.0, 1, 3, 2, S, False),
+        "live": Plan("live", 1.0, 1.0, 0, 3, 0, S, True, adds=0.25),
     }
     base = dict(answer_slack=40 * MS, cold_for=10 * S, cold_share=0.4, fall_multiple=3.0, fall_window=2 * S,
                 try_limit=4, extra_tries=2, extra_share=0.1, extra_window=10 * S, longest_advice=S,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from terndrift import terms
 from terndrift.adapter.__main__ import serve
 
 ENLIST = """sync now_ns=1000000000
@@ -74,3 +75,11 @@
     assert wrong is None and out.count("subscribe on=1") == 2
     wrong, out = talk(ENLIST, failed, later)
     assert wrong is None and "subscribe" not in out
+
+
+def test_what_a_further_viewer_of_a_live_plan_adds_is_read_by_plan():
+    base = {"profiles.count": "2", "profiles.0.name": "match", "profiles.1.name": "film",
+            "family_info.rung_kb": "100", "family_info.worth_by_rung": "1", "family_info.shared_adds": "0.2"}
+    for live, adds in (("true,false", [0.2, 1.0]), ("", [1.0, 1.0])):
+        made, _, _ = terms.deployment({**base, "family_info.class_live": live})
+        assert [plan.adds for plan in made.plans.values()] == adds
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -292,7 +292,7 @@
     front.list([line(n, cell=n) for n in range(2000)])
     assert len({front.want(cells=2000).streamer for n in range(60)}) == 60
     looked = []
-    front.c._order = lambda now, able: looked.append(len(able)) or able
+    front.c._order = lambda now, able, pb: looked.append(len(able)) or able
     front.want(cells=2000)
     assert looked[0] <= 300
 
@@ -321,3 +321,31 @@
     front.c.list_failed(front.now)
     front.pass_time(60 * S)
     assert front.c.list_calls == 0 and front.c.wake_at is None
+
+
+def test_viewers_of_a_live_title_gather_share_a_stream_and_go_up_together():
+    front = Front(streamers=4)
+    one = front.want("live", "match")
+    front.play(one)
+    for other in {0, 1, 2, 3} - {one.streamer.listed.id}:
+        front.use(other, link=0.0)
+    front.use(one.streamer.listed.id, link=0.2)
+    two, three = front.want("live", "match"), front.want("live", "other")
+    assert two.streamer is one.streamer, "where the stream runs, though others are idle"
+    assert three.streamer is not one.streamer, "another title goes by workload"
+    assert one.rung == two.rung == 3 and one.streamer.own() == 800.0 * 1.25
+    plain = Front(streamers=4)
+    first = plain.want("free", "match")
+    plain.play(first)
+    second = plain.want("free", "match")
+    assert second.streamer is not first.streamer, "what is not live goes by workload alone"
+    assert first.streamer.own() + second.streamer.own() == first.rates[first.rung] + second.rates[second.rung]
+
+
+def test_near_ties_go_by_the_title_at_every_controller_if_it_is_live():
+    fronts = [Front(streamers=8, rank=rank, controllers=6) for rank in range(6)]
+    for front in fronts:
+        front.c.draws = front.d.rank  # their seeds differ in service
+    chosen = {plan: {front.want(plan, "match", cells=8).streamer.listed.id for front in fronts}
+              for plan in ("live", "free")}
+    assert len(chosen["live"]) == 1 and len(chosen["free"]) > 1
