Short notes stand for a link's report where no answer tells of the link

Cause: with load_report.how=probe or none a full link looks idle: decide.py _delivered took short notes for the uplink or a standing streamer alone, though DESIGN corrects from them; 'cpu' was never read. Change: Links.told; there a short note whose rack mates are not short is taken as the link's report, of that streamer alone; cpu counts as the link's use where x0 does not come.

--- a/terndrift/adapter/codec.py
+++ b/terndrift/adapter/codec.py
@@ -1,7 +1,9 @@
 """The text wire: lines to fields and back. Knows names and forms, decides nothing."""
 
+import contextlib
+
 from terndrift.interface import Ending, Listed, Standing
-from terndrift.terms import REPORTED, Malformed, number, text, whole
+from terndrift.terms import Malformed, number, reported, text, whole
 
 ENDINGS = {
     "completed": Ending.PLAYED_OUT,
@@ -56,11 +58,8 @@
 
 def report(f, names):
     """The load report of an answer, by our names; values that can't be read are left out."""
-    out = {}
+    said = {}
     for name, value in zip(names, f.get("telemetry", "").split(","), strict=False):
-        if name in REPORTED:
-            try:
-                out[REPORTED[name]] = float(value)
-            except ValueError:
-                continue
-    return out
+        with contextlib.suppress(ValueError):
+            said[name] = float(value)
+    return reported(said)
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -564,6 +564,10 @@
         # notes are smoothed over seconds: what they tell in the 2 s after a correction is the old shortage
         elif s.use(now) < 0.97 and s.mates_short(now) and rack.settled(now) > lag + 2 * SECOND:
             rack.seen = deque([(now, rack.asked(now, now - lag) * max(0.3, share))], maxlen=4)
+        elif not self.d.links.told and not s.mates_short(now):
+            # no answer tells of the link: guards one that is full and looks idle. Not told of on the average,
+            # as only short ones are heard of; could harm where a streamer is slow by itself
+            s.heard.append((now, max(0.0, s.full / max(0.3, share) - s.own(now - lag))))
 
     MARK = 0.9  # DESIGN's mark: links and uplinks are filled to nine tenths
 
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -96,6 +96,7 @@
     places: dict  # kind of streamer -> playbacks it runs at most
     lag: int  # how late shares, link and uplink figures of playing streamers are
     refuses_from: float  # a streamer turns set-ups away from this link use on; 0: never
+    told: bool = True  # answers say what is asked of the link
 
 
 @dataclass(frozen=True)
--- a/terndrift/platform/message.py
+++ b/terndrift/platform/message.py
@@ -7,11 +7,12 @@
 Unusable (a whole message that says nothing that can be done).
 """
 
+import contextlib
 import struct
 from dataclasses import dataclass, field
 
 from terndrift.interface import Ending
-from terndrift.terms import REPORTED
+from terndrift.terms import reported
 
 # Types of messages.
 SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, NOTE = 1, 6, 9, 12, 16, 44
@@ -191,16 +192,13 @@
 
 def report(message):
     """The figures of a load report, by our names; what can't be read is left out."""
-    out = {}
+    said = {}
     try:
         pairs = message.text(REPORT, "").split(";")
     except Unusable:
-        return out
+        return said
     for pair in pairs:
         name, _, value = pair.partition(":")
-        if name in REPORTED:
-            try:
-                out[REPORTED[name]] = finite(value, name)
-            except Unusable:
-                continue
-    return out
+        with contextlib.suppress(Unusable):
+            said[name] = finite(value, name)
+    return reported(said)
--- a/terndrift/terms.py
+++ b/terndrift/terms.py
@@ -14,7 +14,14 @@
     """Something that can't be read; the text says what is wrong with it."""
 
 
-REPORTED = {"active": "streams", "x0": "link", "x1": "uplink"}  # values of a load report, by our names
+# Values of a load report, by our names. Of two that say the same the later one here holds: `cpu` is what is
+# asked of the link too, but 1 at most.
+REPORTED = {"active": "streams", "cpu": "link", "x0": "link", "x1": "uplink"}
+
+
+def reported(said):
+    """name -> number, as a load report has it, by our names."""
+    return {ours: said[name] for name, ours in REPORTED.items() if name in said}
 
 
 def whole(f, key, default=None):
@@ -129,6 +136,7 @@
     rates = tuple(numbers(f, "family_info.rung_kb"))
     kinds = [k for k in f.get("host_types", "").split(",") if k]
     extra = int(number(f, "rules.free_resends", -1))
+    fields = f.get("load_report.fields", "").split(",")
     share = number(f, "rules.repeat_ratio", 0)
     asked = f.get("registry_mode") == "subscribe"
     allows = {k: f.get("ceilings." + k) in ("true", "1") for k in ("retry_after", "probes", "peer_messages")}
@@ -150,6 +158,8 @@
             places=dict(zip(kinds, numbers(f, "family_info.places_by_kind", len(kinds)), strict=True)),
             lag=whole(f, "family_info.see_ns", 0),
             refuses_from=number(f, "family_info.refuses_from", 0),
+            told=f.get("load_report.how", "answers") == "answers" and any(
+                REPORTED.get(name) == "link" for name in fields),
         ),
         rules=Rules(
             answer_slack=whole(f, "rules.grace_to_answer_ns", 0),
@@ -168,4 +178,4 @@
         ),
     )
     layout = Layout(max(1, whole(f, "family_info.places", 1)), max(1, whole(f, "family_info.racks", 1)))
-    return made, f.get("load_report.fields", "").split(","), layout
+    return made, fields, layout
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,7 +10,7 @@
 T0 = 1000 * S
 
 
-def deployment(rank=0, controllers=2, **rules):
+def deployment(rank=0, controllers=2, told=True, **rules):
     plans = {
         "free": Plan("free", 1.0, 1.0, 0, 3, 0, S, True),
         "paid": Plan("paid", 2.0, 1.0, 1, 3, 2, S, False),
@@ -20,7 +20,7 @@
                 try_limit=4, extra_tries=2, extra_share=0.1, extra_window=10 * S, longest_advice=S,
                 probes=False, peers=False)
     ladder = Ladder((100.0, 200.0, 400.0, 800.0), (0.25, 0.5, 0.75, 1.0), 6.0, S // 2)
-    links = Links(2000.0, 9000.0, {"box": 20}, S, 0.0)
+    links = Links(2000.0, 9000.0, {"box": 20}, S, 0.0, told)
     return Deployment(7, rank, controllers, "here", plans, ladder, links, Rules(**{**base, **rules}))
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -5,6 +5,7 @@
 import pytest
 
 from terndrift import terms
+from terndrift.adapter import codec
 from terndrift.adapter.__main__ import serve
 
 ENLIST = """sync now_ns=1000000000
@@ -83,3 +84,13 @@
     for live, adds in (("true,false", [0.2, 1.0]), ("", [1.0, 1.0])):
         made, _, _ = terms.deployment({**base, "family_info.class_live": live})
         assert [plan.adds for plan in made.plans.values()] == adds
+
+
+def test_the_link_is_read_from_whatever_tells_most_of_it():
+    for fields, said, want in (("cpu,x0", "0.9,1.4", 1.4), ("x0,cpu", "1.4,0.9", 1.4),
+                               ("waiting,cpu", "3,0.9", 0.9), ("waiting,rps", "3,9", None),
+                               ("x0", "?", None)):
+        assert codec.report({"telemetry": said}, fields.split(",")).get("link") == want
+        links = terms.deployment({"load_report.fields": fields})[0].links
+        assert links.told == (fields != "waiting,rps")
+    assert not terms.deployment({"load_report.fields": "x0", "load_report.how": "probe"})[0].links.told
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -349,3 +349,17 @@
     chosen = {plan: {front.want(plan, "match", cells=8).streamer.listed.id for front in fronts}
               for plan in ("live", "free")}
     assert len(chosen["live"]) == 1 and len(chosen["free"]) > 1
+
+
+def test_a_short_note_stands_for_the_link_where_no_answer_tells_of_it():
+    for told in (False, True):
+        front = Front(streamers=4, told=told)
+        pbs = [front.want(cells=4) for _ in range(4)]
+        for pb in pbs:
+            front.play(pb)
+        front.pass_time(4 * S)
+        s = pbs[0].streamer
+        own = s.own()
+        front.share(s.listed.id, 0.5)
+        assert [kb for _, kb in s.heard] == ([] if told else [4000.0 - own])
+        assert front.c.typical[0] < 2000.0, "nobody told of the others"
