Settings that are amiss are named on both ways in

Need: missing, absurd or contradicting settings must name the field and refuse the start; found by a probe that makes each setting odd: no rungs and a fall window of 0 ended in exceptions in decide.py (_average, _cold_turn), short lists were filled up, limits as a number and a start at 1e999 raised in platform/settings.py, an event without hosts came again for good. Change: bounds and comparisons in terms.py, shared by both; unused settings are told once; records can say what a further viewer of a live title adds.

--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import sys
 from dataclasses import replace
 
 from terndrift import terms
@@ -14,7 +15,9 @@
     """One controller, and what the wire has been told of its playbacks."""
 
     def __init__(self, settings, now):
+        settings = terms.Read(settings)
         self.deployment, self.report_names, self.layout = terms.deployment(settings)
+        self.unused = settings.unused()  # of the settings, nobody asked for these
         self.controller = Controller(self.deployment, now)
         self.told = {}  # playback id -> [tries, rung] as last sent
         self.list_calls = 0
@@ -45,6 +48,7 @@
     def __init__(self):
         self.instances = {}
         self.lists = {}  # number -> entries
+        self.said = False
 
     def batch(self, now, lines):
         """The reply to one batch; `lines` yields the lines between its clock and its end."""
@@ -62,6 +66,9 @@
                 raise Malformed(f"'{name}' before any 'switch_to'")
             elif name == "enlist":
                 inst = self.instances[who] = Instance(f, now)
+                if not self.said:  # once: every instance of a deployment is told the same
+                    self.said = True
+                    print("terndrift: settings without use:", *inst.unused, file=sys.stderr)
             elif name == "crash_now":
                 inst = None
                 self.instances.pop(who, None)
--- a/terndrift/deployment.py
+++ b/terndrift/deployment.py
@@ -43,7 +43,7 @@
 def plans(value):
     top = len(value["ladder"]["rates"]) - 1
     return {name: Plan(name, p["revenue"], p["scale"], p["floor"], min(p["top"], top), p["seats"],
-                       p["startup_target"], p["repeatable"]) for name, p in value["plans"].items()}
+                       p["startup_target"], p["repeatable"], p["adds"]) for name, p in value["plans"].items()}
 
 
 def made(value, controller):
--- a/terndrift/platform/feed.py
+++ b/terndrift/platform/feed.py
@@ -52,7 +52,9 @@
     def take(self, value):
         """A reply's events, or those of the start."""
         for event in value["events"]:
-            if event["n"] > self.held:
+            if not isinstance(event, dict) or not isinstance(event.get("n"), int):
+                self.log.warning("feed", why="an event without a number")  # it would come the same again
+            elif event["n"] > self.held:
                 self.apply(event)
                 self.held = event["n"]
         self.held = max(self.held, int(value["n"]))
--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -38,8 +38,12 @@
         members = event.get("members")
         if members is None:
             return
+        rows = members.get("hosts") if isinstance(members, dict) else None
+        if not isinstance(rows, list):  # asked for again it would be the same
+            self.log.warning("feed", why=f"event {event.get('n')}: no list of hosts")
+            return
         entries, said = [], []
-        for row in members["hosts"]:
+        for row in rows:
             try:
                 entry, name, address = settings.listed(row, self.told.layout, self.clock)
             except Malformed as wrong:
@@ -65,6 +69,7 @@
         self.front.ready = True
         self.tasks += [asyncio.ensure_future(self.feed.follow()), asyncio.ensure_future(self._quarters())]
         self.log.info("listening", address=self.address, name=self.told.name)
+        self.log.info("settings without use", names=self.told.unused)
 
     async def _quarters(self):
         while True:
--- a/terndrift/platform/settings.py
+++ b/terndrift/platform/settings.py
@@ -26,6 +26,7 @@
     tell_every: int  # ns between what a streamer says of its link; 0: never
     drain_grace: int  # ns
     known: list  # events
+    unused: list  # names of settings that nobody asked for
 
 
 def address(text, what):
@@ -54,21 +55,26 @@
     for key, kind in (("name", str), ("listen", str), ("feed", str), ("settings", dict), ("known", dict)):
         if not isinstance(value.get(key), kind):
             raise Malformed(f"{key}: missing, or not {kind.__name__}")
-    flat = terms.flat(value["settings"])
+    flat = terms.Read(terms.flat(value["settings"]))
     made, _, layout = terms.deployment(flat)
     seed = zlib.crc32(str(value.get("seed", value["name"])).encode())
     address(value["feed"], "feed")
-    limits = value.get("limits") or {}
+    limits = value.get("limits", {})
+    if not isinstance(limits, dict):
+        raise Malformed("limits: not an object")
+    limits = terms.flat(limits, "limits")
     events = value["known"].get("events")
     if not isinstance(events, list):
         raise Malformed("known.events: missing, or not a list")
-    return Told(
+    told = Told(
         name=value["name"], listen=address(value["listen"], "listen"), feed=value["feed"],
-        sockets=int(limits.get("sockets", 1024)), deployment=replace(made, seed=seed), layout=layout,
+        sockets=terms.whole(limits, "limits.sockets", 1024, 16),
+        deployment=replace(made, seed=seed), layout=layout,
         abandons=terms.abandons(flat),
-        connect=terms.whole(flat, "ceilings.connect_timeout_ns", 250 * 10**6),
-        tell_every=terms.whole(flat, "family_info.reports_every_ns", 0),
-        drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0), known=events)
+        connect=terms.whole(flat, "ceilings.connect_timeout_ns", 250 * 10**6, 1),
+        tell_every=terms.whole(flat, "family_info.reports_every_ns", 0, 0),
+        drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0, 0), known=events, unused=[])
+    return replace(told, unused=flat.unused())
 
 
 def streamer_id(name):
@@ -86,5 +92,5 @@
             id=streamer_id(name), kind=str(row.get("class", "")), zone=str(row.get("site", "")), cell=cell,
             rack=layout.rack(cell), standing=standing, weight=float(row.get("share", 1)),
             started=clock.of_wall_ns(started * 1_000_000)), name, str(row.get("dial", ""))
-    except (KeyError, TypeError, ValueError) as wrong:
+    except (KeyError, TypeError, ValueError, OverflowError) as wrong:
         raise Malformed(f"a row of the list: {type(wrong).__name__} {wrong}") from None
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -91,6 +91,7 @@
                                ("waiting,cpu", "3,0.9", 0.9), ("waiting,rps", "3,9", None),
                                ("x0", "?", None)):
         assert codec.report({"telemetry": said}, fields.split(",")).get("link") == want
-        links = terms.deployment({"load_report.fields": fields})[0].links
+        links = terms.deployment({"family_info.rung_kb": "100", "load_report.fields": fields})[0].links
         assert links.told == (fields != "waiting,rps")
-    assert not terms.deployment({"load_report.fields": "x0", "load_report.how": "probe"})[0].links.told
+    probed = {"family_info.rung_kb": "100", "load_report.fields": "x0", "load_report.how": "probe"}
+    assert not terms.deployment(probed)[0].links.told
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -169,6 +169,13 @@
     assert got == [{"n": 3}, {"n": 4}] and feed.held == 4
 
 
+def test_an_event_that_can_not_be_read_is_told_and_does_not_come_again():
+    got, said = [], []
+    feed = Feed("127.0.0.1:1", 0, got.append, Log(said))
+    feed.take({"n": 3, "events": ["?", {"members": {}}, {"n": "2"}, {"n": 3}]})
+    assert got == [{"n": 3}] and feed.held == 3 and len(said) == 3
+
+
 # A controller among stand-ins.
 
 
