A feed that is gone is asked ever more seldom, and not in step

Cause: seen with run and no feed: a call every 0.1 s, each logged (platform/feed.py AGAIN); 200 controllers make that 2,000 calls a second, in step when the feed breaks for all at once; an empty reply that does not wait was asked for again with no pause at all. Change: the pause doubles to 0.8 s, half of it by chance, so that with the connect the feed is asked within the 2 s after which its news count as told; the log says when it goes and when it is back.

--- a/terndrift/platform/feed.py
+++ b/terndrift/platform/feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+import zlib
 
 from terndrift.http.client import Broken, Pool, Unreached, fetch
 
@@ -10,22 +11,27 @@
 WAIT = 1000
 # Seconds more until a call that brought nothing is given up.
 SLACK = 0.4
-# Seconds after a call that broke: the feed is asked as soon as it can answer again.
-AGAIN = 0.1
+# Seconds after a call that broke, doubling with each further one, half of it by chance: a feed that is gone
+# is not asked by hundreds of controllers ten times a second, in step. At most so long that with the time to
+# connect it is asked again within 2 s, from which on what it would have told counts as told (DAYS).
+AGAIN, LONGEST = 0.1, 0.8
+# A call is to wait for news: an empty reply sooner than this is one that does not wait.
+AT_ONCE = 0.05
 LARGEST = 4 * 1024 * 1024  # a list of thousands of streamers
 
 
 class Feed:
     """`apply(event)` takes each event that is new; `held` is the number of the last one."""
 
-    def __init__(self, address, held, apply, log):
-        self.address, self.held, self.apply, self.log = address, held, apply, log
+    def __init__(self, address, held, apply, log, seed=0):
+        self.address, self.held, self.apply, self.log, self.seed = address, held, apply, log, seed
         self.pool, self.call = Pool(), None
+        self.broken = self.draws = 0  # calls in a row that broke
 
     def move(self, address):
         """From now on it is at another address; the call that waits at the old one is given up."""
         if address != self.address:
-            self.address = address
+            self.address, self.broken = address, 0
             if self.call:
                 self.call.cancel()
 
@@ -39,15 +45,29 @@
                 code, _, body = await self.call
                 if code != 200:
                     raise ValueError(f"answer {code}")
+                held = self.held
                 self.take(json.loads(body))
+                if self.broken:
+                    self.log.info("feed again", address=self.address, calls=self.broken)
+                    self.broken = 0
+                if self.held == held and time.monotonic() - began < AT_ONCE:
+                    await asyncio.sleep(AGAIN)
             except asyncio.CancelledError:
                 if not self.call.cancelled() or asyncio.current_task().cancelling():
                     raise
                 continue
             except (Unreached, Broken, ValueError, KeyError, TypeError) as wrong:
-                self.log.info("feed", address=self.address, why=str(wrong) or type(wrong).__name__,
-                              after=round(time.monotonic() - began, 3))
-                await asyncio.sleep(AGAIN)
+                if not self.broken:  # once each time it is gone
+                    self.log.info("feed", address=self.address, why=str(wrong) or type(wrong).__name__,
+                                  after=round(time.monotonic() - began, 3))
+                self.broken += 1
+                await asyncio.sleep(self.pause())
+
+    def pause(self):
+        """Seconds until the next call, after `broken` ones in a row."""
+        self.draws += 1
+        luck = zlib.crc32(f"{self.seed}:{self.draws}".encode()) * 2654435761 % 2**32 / 2**32
+        return min(LONGEST, AGAIN * 2 ** min(self.broken - 1, 8)) * (0.5 + luck / 2)
 
     def take(self, value):
         """A reply's events, or those of the start."""
--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -30,7 +30,7 @@
         self.host = Host(self.core, self.clock)
         self.carrier = Carrier(self.host, told, log)
         self.front = Front(self.host, self.carrier, told, log)
-        self.feed = Feed(told.feed, 0, self._event, log)
+        self.feed = Feed(told.feed, 0, self._event, log, told.deployment.seed)
         self.old = True  # the events of the start are a list from before it
         self.tasks, self.address, self.stopped = [], None, asyncio.Event()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -169,6 +169,19 @@
     assert got == [{"n": 3}, {"n": 4}] and feed.held == 4
 
 
+def test_a_feed_that_is_gone_is_asked_ever_more_seldom_and_not_in_step():
+    feeds, all_pauses = [Feed("127.0.0.1:1", 0, None, Log([]), seed) for seed in range(50)], []
+    for feed in feeds:
+        pauses = []
+        for feed.broken in range(1, 60):  # noqa: B020
+            pauses.append(feed.pause())
+        assert pauses[0] <= 0.1 and all(0.4 <= p <= 0.8 for p in pauses[3:]), "asked again within 2 s"
+        all_pauses.append(tuple(pauses))
+    assert len(set(all_pauses)) == 50
+    feeds[0].move("127.0.0.1:2")
+    assert feeds[0].broken == 0, "at another address it is asked at once"
+
+
 def test_an_event_that_can_not_be_read_is_told_and_does_not_come_again():
     got, said = [], []
     feed = Feed("127.0.0.1:1", 0, got.append, Log(said))
