Last words reject what can do no harm, and a full streamer's connections are shared

Cause, read and shown by tests: farewell (platform/front.py) and the core's last word (core/core.py tick) aborted what was never sent, without advice; a set-up that came while ending was rejected with none; a refused connect counted as a fallen streamer (carrier.py) although its other connections were up, which WIRE names as one that 'already holds every connection it takes'; the gate's advice went past what viewers follow. Change: one place for the core's last answer: rejected with the decisions' advice where no try was sent or another does no harm, else aborted; a connect that was refused, not one that timed out, shares a connection that is up. A test in counts that nothing is kept after use. Each new test fails without its mend.

--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -99,6 +99,13 @@
         told = self.told_off.get(carried.streamer.id)
         return told is None or now <= told + self.drain_grace
 
+    def last_answer(self, carried):
+        """The answer to what the core itself must give up. Rejected, with when to come back, where no try
+        was ever sent or another does no harm; else it may have run, and is aborted."""
+        if carried.tries == 0 or self.deployment.plans[carried.wanted.plan].repeatable:
+            return Answer(Kind.REJECTED, self.controller.advice())
+        return Answer(Kind.ABORTED, why="no decision in time")
+
     def began(self, now, carried, report):
         """The set-up that is out came to play."""
         if carried.stage is Stage.CALLING_OFF:  # too late: it was given up, and has run all the same
@@ -204,7 +211,7 @@
                 self._give_up(now, carried, Ending.SILENT)
             if carried.answer is None and now >= carried.due - last_word(carried.wanted.time_left):
                 self.watch("last word", carried)
-                self._close(now, carried, Answer(Kind.ABORTED, why="no decision in time"))
+                self._close(now, carried, self.last_answer(carried))
                 self._call(now, carried, lambda c=carried: self.controller.viewer_left(now, c.id))
                 self._give_up(now, carried, Ending.CALLED_OFF)
         if self.controller.wake_at is not None and now >= self.controller.wake_at:
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -324,10 +324,13 @@
         if state is not State.ENDED:
             self.changed[pb] = None
 
+    def advice(self):
+        # a second is about the pause viewers make by themselves; less brings them back into the same jam
+        return min(SECOND, self.d.rules.longest_advice)
+
     def _reject(self, now, pb):
         """Rejecting is the last word only where nothing can have run; otherwise the playback aborts."""
-        # a second is about the pause viewers make by themselves; less brings them back into the same jam
-        pb.come_back = min(SECOND, self.d.rules.longest_advice)
+        pb.come_back = self.advice()
         self._turn(now, pb, State.ABORTED if pb.spoilt() else State.REJECTED)
         return True
 
--- a/terndrift/http/client.py
+++ b/terndrift/http/client.py
@@ -18,6 +18,10 @@
     """No connection was made: nothing was sent."""
 
 
+class NotTaken(Unreached):
+    """The machine is there and took no connection: its process is gone, or holds as many as it takes."""
+
+
 class Broken(Exception):
     """The connection ended before the answer did; the request may have run."""
 
@@ -75,7 +79,10 @@
     host, _, port = address.rpartition(":")
     try:
         await asyncio.wait_for(stream.connect((host, int(port))), within)
-    except (TimeoutError, StreamClosedError, OSError, ValueError) as wrong:
+    except StreamClosedError as wrong:
+        stream.close()
+        raise NotTaken(str(wrong)) from None
+    except (TimeoutError, OSError, ValueError) as wrong:
         stream.close()
         raise Unreached(str(wrong) or type(wrong).__name__) from None
     except BaseException:  # given up meanwhile
--- a/terndrift/platform/carrier.py
+++ b/terndrift/platform/carrier.py
@@ -8,7 +8,7 @@
 
 from tornado.ioloop import IOLoop
 
-from terndrift.http.client import Unreached, connect
+from terndrift.http.client import NotTaken, Unreached, connect
 from terndrift.interface import Ending, Standing
 from terndrift.platform import message as m
 from terndrift.platform.message import Unusable, encode
@@ -168,8 +168,14 @@
     async def _connect_and_send(self, out, rung, due):
         try:
             wire = await self._open(out.peer)
-        except Unreached:
-            return self._over(out, Ending.UNREACHED)
+        except Unreached as wrong:
+            # a process that dies takes its connections with it: one that has others up and took no more holds
+            # as many as it takes, and is not ill. Not after a time-out: a machine that vanished leaves
+            # its connections open
+            up = [w for w in out.peer.wires if w.up()] if isinstance(wrong, NotTaken) else []
+            if not up:
+                return self._over(out, Ending.UNREACHED)
+            wire = min(up, key=lambda w: len(out.peer.wires[w]))
         return self._send(out, wire, rung, due)
 
     def _send(self, out, wire, rung, due):
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -130,7 +130,7 @@
             wire.send(release(message.id, m.UNUSABLE))
             return
         if self.leaving:
-            self._reject(wire, message.id, 0)
+            self._reject(wire, message.id, self.host.core.controller.advice())
             return
         if come_back := self.gate.enter(now, wire):
             self._reject(wire, message.id, come_back)
@@ -210,7 +210,7 @@
         self.leaving = True
         for viewing in self.held.values():
             if viewing.carried.answer is None:
-                viewing.wire.send(release(viewing.id, m.ABORTED))
+                self._say_no(viewing, self.host.core.last_answer(viewing.carried))
             else:
                 self._release(viewing)
         self.held.clear()
@@ -239,13 +239,17 @@
                 wire.send(self.owed.popleft()[1])
             return
         del self.held[viewing.id]
+        self._say_no(viewing, answer)
+
+    def _say_no(self, viewing, answer):
         if answer.kind is Kind.ABORTED:
-            wire.send(release(viewing.id, m.ABORTED))
+            viewing.wire.send(release(viewing.id, m.ABORTED))
         else:
-            self._reject(wire, viewing.id, answer.come_back)
+            self._reject(viewing.wire, viewing.id, answer.come_back)
 
     def _reject(self, wire, id, come_back):
-        """`come_back`: ns to stay away, 0: no advice."""
+        """`come_back`: ns to stay away, 0: no advice; no longer than viewers follow, if they do."""
+        come_back = min(come_back, self.told.deployment.rules.longest_advice)
         advice = [(m.ADVICE, str(come_back // MS))] if come_back else []
         wire.send(release(id, m.REJECTED, *advice))
 
--- a/terndrift/rehearse/baselines.py
+++ b/terndrift/rehearse/baselines.py
@@ -6,14 +6,14 @@
 class Random(Controller):
     """Any holder, by chance."""
 
-    def _order(self, now, able):
+    def _order(self, now, able, pb):
         return sorted(able, key=lambda s: self._chance())
 
 
 class RoundRobin(Controller):
     """The holder that was used longest ago."""
 
-    def _order(self, now, able):
+    def _order(self, now, able, pb):
         last = self.__dict__.setdefault("last_used", {})
         return sorted(able, key=lambda s: last.get(s, 0))
 
@@ -25,7 +25,7 @@
 class LeastConnections(Controller):
     """The holder with the fewest of this controller's own playbacks."""
 
-    def _order(self, now, able):
+    def _order(self, now, able, pb):
         return sorted(able, key=lambda s: (len(s.playbacks), self._chance()))
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -255,6 +255,59 @@
     assert world.by_name("s-00000000").heard, "the report came with the refusal"
 
 
+@in_world(how="silent")
+async def test_the_last_word_rejects_what_can_do_no_harm_and_says_when_to_come_back(world):
+    viewer = await world.viewer()
+    paid, free = viewer.ask(plan="paid"), viewer.ask()
+    await until(lambda: {paid, free} <= {id for s in world.streamers for id in s.ids(m.SET_UP)})
+    world.service.front.farewell()
+    heard = {h.id: h for h in (await viewer.hear(), await viewer.hear())}
+    assert heard[paid].cause == m.ABORTED, "it is out, and may have run"
+    assert heard[free].cause == m.REJECTED and int(heard[free].parts[m.ADVICE]) == 500
+    viewer.ask(plan="paid")
+    late = await viewer.hear()
+    assert (late.cause, late.parts[m.ADVICE]) == (m.REJECTED, b"500"), "never sent"
+
+
+@in_world(streamers=1, how="silent")
+async def test_a_streamer_that_takes_no_more_connections_is_not_ill_and_those_it_has_are_shared(world):
+    viewer, streamer = await world.viewer(), world.streamers[0]
+    first = viewer.ask(plan="paid")
+    await until(lambda: streamer.ids(m.SET_UP) == [first])
+    streamer.server.close()  # what is open stays open, and nothing new comes in
+    second = viewer.ask(plan="paid", title="ffffffffffffffff")
+    await until(lambda: streamer.ids(m.SET_UP) == [first, second])
+    assert len(streamer.writers) == 1 and world.by_name("s-00000000").down is None
+
+
+@in_world(streamers=2)
+async def test_after_use_nothing_is_kept_of_playbacks_titles_and_connections(world):
+    core, controller, carrier, front = world.core, world.core.controller, world.carrier, world.service.front
+    stays = await world.viewer()
+    await world.plays(stays)
+    for n in range(40):
+        viewer = await world.viewer()
+        ids = [(await world.plays(viewer, title=f"{n:016x}"))[0] for _ in range(2)]
+        viewer.send(release(ids[0], 16))
+        await until(lambda lost=ids[0]: lost not in front.held)
+        viewer.writer.close()  # the other one stands, and its end is told on another connection
+        await until(lambda: len(front.wires) == 1)
+        streamer = next(s for s in world.streamers if ids[1] in s.ids(m.SET_UP))
+        streamer.say(release(ids[1], 16))
+        await until(lambda: len(core.held) == 1)
+    counts = {
+        "core": len(core.held), "tries": len(carrier.tries), "leaving": len(carrier.leaving),
+        "playing": sum(len(p.playing) + len(p.expected) + len(p.waiting) for p in carrier.peers.values()),
+        "front": len(front.held) + len(front.expected) + len(front.owed), "wires": len(front.wires),
+        "controller": len(controller.playbacks) + len(controller.open),
+        "streamers": sum(len(s.playbacks) for s in controller.streamers.values())}
+    assert counts == {"core": 1, "tries": 0, "leaving": 0, "playing": 1, "front": 1, "wires": 1,
+                      "controller": 1, "streamers": 1}
+    assert sum(len(p.wires) for p in carrier.peers.values()) <= 4
+    until_due = world.service.clock.now() + 3 * S  # what is due is forgotten then, though it is over
+    assert all(at <= until_due for at, _, _ in core.alarms)
+
+
 @in_world(streamers=4)
 async def test_a_paid_try_that_may_have_run_is_aborted_and_never_rejected(world):
     for n, how in enumerate(("errs", "resets", "noise", "stops short")):
