--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -627,7 +627,8 @@
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
         free = min(self.MARK * s.full - s.asked(now), self.MARK * s.rack.limit(now) - s.rack.asked(now))
-        joins = [p.rung for p in s.mates(pb) if p.rung <= pb.top and p.rates[p.rung] * p.plan.adds <= free]
+        joins = [p.rung for p in s.mates(pb)
+                 if p.plan.floor <= p.rung <= pb.top and p.rates[p.rung] * p.plan.adds <= free]
         if pb.rates[pb.plan.floor] > free:
             return max(joins, default=None)
         top = self._fair(now, s.rack, pb, s)[pb]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,5 +1,7 @@
 """One small test for each guard: what it was put there for, without the bench."""
 
+from dataclasses import replace
+
 from helpers import MS, Front, S, line
 
 from terndrift.decide import State
@@ -363,3 +365,13 @@
         front.share(s.listed.id, 0.5)
         assert [kb for _, kb in s.heard] == ([] if told else [4000.0 - own])
         assert front.c.typical[0] < 2000.0, "nobody told of the others"
+
+
+def test_nobody_joins_a_stream_that_plays_under_the_floor():
+    front = Front(streamers=1)
+    front.d.plans["live"] = replace(front.d.plans["live"], floor=1)
+    front.c.handed_over(front.now, "old", "live", "match", frozenset({0}), 3, 4 * S, 0, False, 0)
+    front.c.told_rung(front.now, "old", 0)
+    front.use(0, link=0.78)
+    pb = front.want("live", "match", cells=1)
+    assert pb.state is State.TRYING and pb.rung == 1
