--- a/terndrift/adapter/host.py
+++ b/terndrift/adapter/host.py
@@ -17,7 +17,7 @@
     def __init__(self, settings, now):
         settings = terms.Read(settings)
         self.deployment, self.report_names, self.layout = terms.deployment(settings)
-        self.unused = settings.unused()  # of the settings, nobody asked for these
+        self.unknown = settings.unknown()
         self.controller = Controller(self.deployment, now)
         self.told = {}  # playback id -> [tries, rung] as last sent
         self.list_calls = 0
@@ -66,9 +66,9 @@
                 raise Malformed(f"'{name}' before any 'switch_to'")
             elif name == "enlist":
                 inst = self.instances[who] = Instance(f, now)
-                if not self.said:  # once: every instance of a deployment is told the same
+                if inst.unknown and not self.said:  # once: all instances of a deployment are told the same
                     self.said = True
-                    print("terndrift: settings without use:", *inst.unused, file=sys.stderr)
+                    print("terndrift: settings not known:", *inst.unknown, file=sys.stderr)
             elif name == "crash_now":
                 inst = None
                 self.instances.pop(who, None)
--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -69,7 +69,8 @@
         self.front.ready = True
         self.tasks += [asyncio.ensure_future(self.feed.follow()), asyncio.ensure_future(self._quarters())]
         self.log.info("listening", address=self.address, name=self.told.name)
-        self.log.info("settings without use", names=self.told.unused)
+        if self.told.unknown:
+            self.log.info("settings not known", names=self.told.unknown)
 
     async def _quarters(self):
         while True:
--- a/terndrift/platform/settings.py
+++ b/terndrift/platform/settings.py
@@ -26,7 +26,7 @@
     tell_every: int  # ns between what a streamer says of its link; 0: never
     drain_grace: int  # ns
     known: list  # events
-    unused: list  # names of settings that nobody asked for
+    unknown: list  # names of settings that nothing here knows
 
 
 def address(text, what):
@@ -73,8 +73,8 @@
         abandons=terms.abandons(flat),
         connect=terms.whole(flat, "ceilings.connect_timeout_ns", 250 * 10**6, 1),
         tell_every=terms.whole(flat, "family_info.reports_every_ns", 0, 0),
-        drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0, 0), known=events, unused=[])
-    return replace(told, unused=flat.unused())
+        drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0, 0), known=events, unknown=[])
+    return replace(told, unknown=flat.unknown())
 
 
 def streamer_id(name):
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -126,7 +126,8 @@
 
 def test_an_unknown_setting_is_told_once_on_either_way_in(tmp_path):
     odd = {**SETTINGS, "colour": "red", "walls": [{"of": "brick"}, {"of": "wood"}]}
-    assert {"colour", "walls.*.of"} <= set(settings.told({**TOLD, "settings": odd}).unused)
+    assert settings.told({**TOLD, "settings": odd}).unknown == ["colour", "walls.*.of", "walls.count"]
+    assert settings.told(TOLD).unknown == []
     line = " ".join(f"{key}={value}" for key, value in FLAT.items())
     batch = "sync now_ns=1\n" + "".join(
         f"switch_to who={who}\nenlist seed=5 colour=red {line}\n" for who in (1, 2)) + "go\n"
