Sharing a stream costs nothing where no title is live

Change: one flag; where no plan shares, playbacks stand alone without grouping, own viewers are looked for only where there can be any.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -162,6 +162,7 @@
         self.rates = {name: [kb * plan.scale for kb in rates] for name, plan in deployment.plans.items()}
         self.steps = {name: self._steps(plan, self.rates[name]) for name, plan in deployment.plans.items()}
         self.played = set()  # titles that came to play
+        self.live = any(plan.adds < 1 for plan in deployment.plans.values())
         self.jam = None, {}  # (when, {what was asked for: draws}) of playbacks that found no place just now
         self.taken, self.extra = deque(maxlen=10**5), deque(maxlen=10**5)  # times of those taken, later tries
         self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
@@ -422,8 +423,8 @@
         if live:
             title = zlib.crc32(pb.title.encode())
             counts = {s: zlib.crc32(b"%d" % s.listed.id, title) * 2654435761 % 2**32 for s in able}
-        return sorted(able, key=lambda s: (
-            live and not s.mates(pb), max(use[s], tie), counts.get(s, 0), use[s], self._chance()))
+        order = sorted(able, key=lambda s: (max(use[s], tie), counts.get(s, 0), use[s], self._chance()))
+        return sorted(order, key=lambda s: not s.mates(pb)) if live else order
 
     def seated(self, plan, title):
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
@@ -526,13 +527,18 @@
 
     def _note_own(self, now, s):
         s.rack.known, self.jam = (None, 0.0), (None, {})
-        streams = self._streams([(pb, s) for pb in s.playbacks], lambda pb: pb.rung)
-        s.asks.append((now, sum([pbs[0].rates[pbs[0].rung] * adds for pbs, _, adds in streams])))
-        s.scale = sum([pbs[0].plan.scale * adds for pbs, _, adds in streams])
+        parts = [(pb, 1.0) for pb in s.playbacks]
+        if self.live:
+            streams = self._streams([(pb, s) for pb in s.playbacks], lambda pb: pb.rung)
+            parts = [(pbs[0], adds) for pbs, _, adds in streams]
+        s.asks.append((now, sum([pb.rates[pb.rung] * part for pb, part in parts])))
+        s.scale = sum([pb.plan.scale * part for pb, part in parts])
         self.used.pop(s, None) if not s.playbacks else self.used.setdefault(s)
 
     def _streams(self, playing, alike):
         """[playbacks, streamer, rates that they ask together]: viewers of a live title share a stream."""
+        if not self.live:
+            return [((pb,), s, 1.0) for pb, s in playing]
         streams = {}
         for pb, s in playing:
             key = (pb.title, pb.plan.name, alike(pb), s) if pb.plan.adds < 1 else pb
@@ -590,7 +596,8 @@
         streams = self._streams(all_of, lambda p: p.top)  # whose viewers go up together
         for n, (pbs, at, adds) in enumerate(streams):
             p, rung = pbs[0], pbs[0].plan.floor
-            rungs.update(dict.fromkeys(pbs, rung))
+            for q in pbs:
+                rungs[q] = rung
             kb = p.rates[rung] * adds
             room[at] -= kb
             free -= kb
@@ -607,7 +614,8 @@
             if kb <= least or tight not in drawn and p.luck * kb < least:
                 room[at] -= kb
                 free -= kb
-                rungs.update(dict.fromkeys(pbs, rung))
+                for q in pbs:
+                    rungs[q] = rung
                 if rung < p.top:
                     heapq.heapreplace(steps, (p.steps[rung][0] * len(pbs) / adds, n, rung + 1))
                     continue
@@ -627,10 +635,11 @@
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
         free = min(self.MARK * s.full - s.asked(now), self.MARK * s.rack.limit(now) - s.rack.asked(now))
-        joins = [p.rung for p in s.mates(pb)
+        mates = s.mates(pb) if self.live else ()
+        joins = [p.rung for p in mates
                  if p.plan.floor <= p.rung <= pb.top and p.rates[p.rung] * p.plan.adds <= free]
         if pb.rates[pb.plan.floor] > free:
-            return max(joins, default=None)
+            return max(joins) if joins else None
         top = self._fair(now, s.rack, pb, s)[pb]
         return max([next(r for r in range(top, -1, -1) if pb.rates[r] <= free), *joins])
 
