--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -5,11 +5,13 @@
 import re
 import subprocess
 import sys
+from dataclasses import replace
 
 import pytest
 from platform_world import SETTINGS
 
 from terndrift import terms
+from terndrift.adapter import codec
 from terndrift.adapter.__main__ import serve
 from terndrift.decide import Controller, State
 from terndrift.interface import Listed, Standing
@@ -103,6 +105,18 @@
             use(made, layout, listed(5, started=S // 2))
 
 
+def test_both_ways_in_hand_the_decisions_the_same():
+    for odd in ({}, dict(class_live=[True, False], shared_adds=0.2, registry_mode="subscribe"),
+                dict(how="probe", fields=["cpu", "waiting"]),
+                dict(host_types=["big box", "box"], places_by_kind=[9, 4])):
+        told = changed(**odd)
+        line = " ".join(f"{key}={value}" for key, value in terms.flat(told).items() if value != "")
+        _, flat = codec.fields(f"enlist seed=5 {line}")
+        here, fields, layout = terms.deployment(flat)
+        there = settings.told({**TOLD, "settings": told})
+        assert replace(there.deployment, seed=5) == here and there.layout == layout and fields
+
+
 def test_none_one_and_very_many_of_everything_work():
     many = [{"name": f"plan{n}", "slo_ns": S, "deadline_ns": 3 * S, "effect": "idempotent"}
             for n in range(300)]
