Times of playbacks taken are forgotten with the budget's window

Cause: a soak's memory grew by 1.5 MB a quarter; 2,000 playbacks over connections of their own, counted in process, left 40 bytes each in Controller.taken (decide.py wanted), which only a second try pruned, beside 4,096 titles at most; cycles were ruled out: a full collection frees 0.6 objects a playback. Change: what is older than the window goes with each playback taken. Test without bench, fails without it. Whether it explains the soak's growth is not measured: that stands in docs/platform.md and the roadmap.

--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -219,6 +219,7 @@
     def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved, rates=None):
         pb = self._take(now, id, plan, title, cells, top, time_left, hint, rates)
         self.taken.append(now)
+        self._forget(now)
         self.recent.append(now)
         pb.hold_until = min(now + 2 * SECOND, pb.due)  # DESIGN's brief hold
         if pb.rung > top or time_left <= 0:
@@ -449,11 +450,15 @@
         # how long a silence is still usual: six spreads over the mean, as the tail is long and cut off
         return int(max(fmean(self.answers) + 6 * pstdev(self.answers), 250 * MS))
 
-    def _extra_left(self, now):
-        rules = self.d.rules
+    def _forget(self, now):
+        """Times that no budget looks at any more. Guards memory where second tries, which look, are rare."""
         for times in (self.taken, self.extra):
-            while times and times[0] <= now - rules.extra_window:
+            while times and times[0] <= now - self.d.rules.extra_window:
                 times.popleft()
+
+    def _extra_left(self, now):
+        rules = self.d.rules
+        self._forget(now)
         return len(self.extra) + 1 <= rules.extra_tries + rules.extra_share * len(self.taken)
 
     def _badly(self, now, s, ending):
