--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -103,7 +103,7 @@
         """The answer to what the core itself must give up. Rejected, with when to come back, where no try
         was ever sent or another does no harm; else it may have run, and is aborted."""
         if carried.tries == 0 or self.deployment.plans[carried.wanted.plan].repeatable:
-            return Answer(Kind.REJECTED, self.controller.advice())
+            return Answer(Kind.REJECTED, self.controller.advice)
         return Answer(Kind.ABORTED, why="no decision in time")
 
     def began(self, now, carried, report):
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -8,24 +8,13 @@
 import zlib
 from collections import deque
 from dataclasses import replace
-from enum import Enum
 from statistics import fmean, pstdev
 
-from .interface import Ending, Standing
+from .interface import Ending, Standing, State
 
 MS = 1_000_000
 SECOND = 1000 * MS
 
-
-class State(Enum):
-    HELD = 0  # taken, waiting for room
-    TRYING = 1  # one set-up is out
-    PLAYING = 2
-    REJECTED = 3
-    ABORTED = 4
-    ENDED = 5  # nothing more is owed
-
-
 FINAL = (State.REJECTED, State.ABORTED, State.ENDED)
 FAULTS = (Ending.SILENT, Ending.UNREACHED, Ending.BROKEN)  # of a streamer, whatever was asked of it
 ROUTES = {  # the only changes of state there are
@@ -102,8 +91,7 @@
         Guards against a streamer shut out for good by the last thing that was heard of it."""
         if self.listed.standing is Standing.GONE or self.down is not None:
             return 0.0  # what is gone carries nothing of its rack's uplink
-        heard = self.heard
-        if not heard:
+        if not (heard := self.heard):
             return self.typical[0]
         old = min(1.0, (now - heard[-1][0]) / (15 * SECOND))
         return (1 - old) * ((heard[0][1] + heard[-1][1]) / 2) + old * self.typical[0]
@@ -116,8 +104,8 @@
 
     def mates(self, pb):
         """Own viewers there of the same live title: they share a stream for each rung."""
-        same = pb.plan.adds < 1 and self.playbacks
-        return [p for p in same if p.title == pb.title and p.plan is pb.plan] if same else []
+        same = self.playbacks if pb.plan.adds < 1 else ()
+        return [p for p in same if p.title == pb.title and p.plan is pb.plan]
 
     def stuck(self, now):
         """Delivers next to nothing though its link has room, and its rack's other streamers deliver."""
@@ -128,8 +116,7 @@
     def mates_short(self, now):
         """A weak uplink starves all of its rack alike: at least half of those with own playbacks. With none
         there to tell, the uplink is blamed: where a front is seldom twice in a rack, nobody else cuts."""
-        mates = [m for m in self.rack.streamers if m is not self and m.playbacks]
-        if not mates:
+        if not (mates := [m for m in self.rack.streamers if m is not self and m.playbacks]):
             return self.shares[-1][1] >= 0.5
         late = [m.shares[-1] for m in mates if m.shares]
         return 2 * sum(share < 0.98 and now - t < 3 * SECOND for t, share in late) >= len(mates)
@@ -170,6 +157,8 @@
         self.lives = deque(maxlen=64)  # how long playbacks played
         self.draws, self.usual_kb, self.wake_at, self.next_scan = 0, 1.0, None, 0
         self.changed = {}  # playbacks to hand back, in order
+        # a second is about the pause viewers make by themselves; less brings them back into the same jam
+        self.advice = min(SECOND, deployment.rules.longest_advice)
         self.list_calls, self.list_gap, self.list_at = 0, 0, None
         if within := deployment.rules.list_within:  # by rank: many start at once, and one service answers all
             self.list_at = now + within // 4 * deployment.rank // deployment.controllers
@@ -219,7 +208,7 @@
     def wanted(self, now, id, plan, title, cells, top, time_left, hint, moved, rates=None):
         pb = self._take(now, id, plan, title, cells, top, time_left, hint, rates)
         self.taken.append(now)
-        self._forget(now)
+        self._extra_left(now)  # so that old times go where second tries, which look, are rare
         self.recent.append(now)
         pb.hold_until = min(now + 2 * SECOND, pb.due)  # DESIGN's brief hold
         if pb.rung > top or time_left <= 0:
@@ -233,7 +222,8 @@
         pb.out = pb.streamer is not None  # one listed nowhere: nothing can be said of it
         self._turn(now, pb, State.PLAYING if pb.out else State.ENDED)
         if pb.out:
-            self._seat(now, pb)
+            pb.streamer.playbacks[pb] = None
+            self._note_own(now, pb.streamer)
             self.stale[pb.streamer.rack] = None
         return self.wake(now)
 
@@ -253,7 +243,8 @@
         if pb is None or not pb.out:
             return self.wake(now)
         pb.out = False
-        self._unseat(now, pb)
+        del pb.streamer.playbacks[pb]
+        self._note_own(now, pb.streamer)
         trying = pb.state is State.TRYING
         pb.may_have_run |= trying and ending.may_have_run
         # an error over a title that never played is the title's: guards against requests for what nobody
@@ -326,24 +317,12 @@
         if state is not State.ENDED:
             self.changed[pb] = None
 
-    def advice(self):
-        # a second is about the pause viewers make by themselves; less brings them back into the same jam
-        return min(SECOND, self.d.rules.longest_advice)
-
     def _reject(self, now, pb):
         """Rejecting is the last word only where nothing can have run; otherwise the playback aborts."""
-        pb.come_back = self.advice()
+        pb.come_back = self.advice
         self._turn(now, pb, State.ABORTED if pb.spoilt() else State.REJECTED)
         return True
 
-    def _seat(self, now, pb):
-        pb.streamer.playbacks[pb] = None
-        self._note_own(now, pb.streamer)
-
-    def _unseat(self, now, pb):
-        del pb.streamer.playbacks[pb]
-        self._note_own(now, pb.streamer)
-
     def wake(self, now, pb=None):
         """Give held playbacks their next try or their answer, and say when to be called again."""
         if due := now >= self.next_scan:
@@ -387,15 +366,14 @@
             return self._reject(now, pb)  # every holder is on the trail
         if plan.seats and self.seated(plan, pb.title) >= plan.seats:
             return self._jammed(now, alike, before)
-        if pb.tries and rules.extra_tries is not None and not self._extra_left(now):
+        if pb.tries and not self._extra_left(now):
             return False
         able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s, len(fresh))]
         if not plan.repeatable:
             able = [s for s in able if not s.gap] or able
         order = self._order(now, able, pb)
         for s in order:
-            rung = self._rung(now, pb, s)
-            if rung is not None:
+            if (rung := self._rung(now, pb, s)) is not None:
                 return self._send(now, pb, s, rung)
         for s in order:
             # DESIGN looks at the link alone here; an uplink that was measured full would starve them all
@@ -416,11 +394,10 @@
 
     def _order(self, now, able, pb):
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
-        use = {s: s.use(now) for s in able}
-        tie, live, counts = min(use.values(), default=0.0) + 0.05, pb.plan.adds < 1, self.counts
-        # least load scatters the viewers of a live title, and no stream is shared (DESIGN's first doubt): a
-        # holder where own ones play goes first, near ties go by the title, alike at every controller. Could
-        # harm where a few titles have nearly all viewers: the workload still goes before the title
+        use, live, counts = {s: s.use(now) for s in able}, pb.plan.adds < 1, self.counts
+        tie = min(use.values(), default=0.0) + 0.05
+        # least load scatters a live title's viewers, and no stream is shared (DESIGN's first doubt): own ones
+        # gather, near ties go by the title everywhere. Could harm where few titles have nearly all viewers
         if live:
             title = zlib.crc32(pb.title.encode())
             counts = {s: zlib.crc32(b"%d" % s.listed.id, title) * 2654435761 % 2**32 for s in able}
@@ -437,29 +414,25 @@
             self.extra.append(now)
         pb.streamer, pb.rung, pb.out = s, rung, True
         pb.trail.append(s)
-        # repeatable: room for a second try before the startup target
-        usual = min(self._patience(), pb.plan.startup_target // 2) if pb.plan.repeatable else pb.due
-        pb.time_out = min(pb.due - now, usual)
+        pb.time_out = pb.due - now
+        if pb.plan.repeatable:  # room for a second try before the startup target. How long a silence is still
+            # usual: six spreads over the mean, as the tail is long and cut off
+            usual = int(max(fmean(self.answers) + 6 * pstdev(self.answers), 250 * MS))
+            pb.time_out = min(pb.time_out, usual, pb.plan.startup_target // 2)
         self.counts[s] = self.counts.get(s, 0) + 1
         s.next_try, s.slot = now + s.gap, self._slot(now, s)
         self._turn(now, pb, State.TRYING)
-        self._seat(now, pb)
+        s.playbacks[pb] = None
+        self._note_own(now, s)
         return True
 
-    def _patience(self):
-        # how long a silence is still usual: six spreads over the mean, as the tail is long and cut off
-        return int(max(fmean(self.answers) + 6 * pstdev(self.answers), 250 * MS))
-
-    def _forget(self, now):
-        """Times that no budget looks at any more. Guards memory where second tries, which look, are rare."""
-        for times in (self.taken, self.extra):
-            while times and times[0] <= now - self.d.rules.extra_window:
-                times.popleft()
-
     def _extra_left(self, now):
         rules = self.d.rules
-        self._forget(now)
-        return len(self.extra) + 1 <= rules.extra_tries + rules.extra_share * len(self.taken)
+        for times in (self.taken, self.extra):
+            while times and times[0] <= now - rules.extra_window:
+                times.popleft()
+        most = rules.extra_tries
+        return most is None or len(self.extra) + 1 <= most + rules.extra_share * len(self.taken)
 
     def _badly(self, now, s, ending):
         """Set aside: guards against streamers that err at once (and look idle), hang or are gone."""
@@ -532,12 +505,9 @@
 
     def _note_own(self, now, s):
         s.rack.known, self.jam = (None, 0.0), (None, {})
-        parts = [(pb, 1.0) for pb in s.playbacks]
-        if self.live:
-            streams = self._streams([(pb, s) for pb in s.playbacks], lambda pb: pb.rung)
-            parts = [(pbs[0], adds) for pbs, _, adds in streams]
-        s.asks.append((now, sum([pb.rates[pb.rung] * part for pb, part in parts])))
-        s.scale = sum([pb.plan.scale * part for pb, part in parts])
+        streams = self._streams([(pb, s) for pb in s.playbacks], lambda pb: pb.rung)
+        s.asks.append((now, sum([pbs[0].rates[pbs[0].rung] * adds for pbs, _, adds in streams])))
+        s.scale = sum([pbs[0].plan.scale * adds for pbs, _, adds in streams])
         self.used.pop(s, None) if not s.playbacks else self.used.setdefault(s)
 
     def _streams(self, playing, alike):
@@ -597,12 +567,11 @@
         more = pb.plan.scale * (pb.plan.adds if s.mates(pb) else 1) if pb else 0.0
         room = {at: self._budget(now, at, more * (at in (s, rack))) for at in [rack, *rack.streamers]}
         all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
-        rungs, steps, drawn, free = {}, [], set(), room[rack]
+        rungs, steps, drawn, free = [], [], set(), room[rack]
         streams = self._streams(all_of, lambda p: p.top)  # whose viewers go up together
         for n, (pbs, at, adds) in enumerate(streams):
             p, rung = pbs[0], pbs[0].plan.floor
-            for q in pbs:
-                rungs[q] = rung
+            rungs.append(rung)
             kb = p.rates[rung] * adds
             room[at] -= kb
             free -= kb
@@ -619,8 +588,7 @@
             if kb <= least or tight not in drawn and p.luck * kb < least:
                 room[at] -= kb
                 free -= kb
-                for q in pbs:
-                    rungs[q] = rung
+                rungs[n] = rung
                 if rung < p.top:
                     heapq.heapreplace(steps, (p.steps[rung][0] * len(pbs) / adds, n, rung + 1))
                     continue
@@ -629,7 +597,7 @@
             heapq.heappop(steps)
             if pb in pbs:
                 break  # its rung is settled, and only it is asked for
-        return rungs
+        return {p: rung for rung, (pbs, _, _) in zip(rungs, streams, strict=True) for p in pbs}
 
     def _steps(self, plan, rates):
         """(order, kB) of the step up from each rung: what earns most for a kB goes first."""
@@ -640,8 +608,7 @@
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
         free = min(self.MARK * s.full - s.asked(now), self.MARK * s.rack.limit(now) - s.rack.asked(now))
-        mates = s.mates(pb) if self.live else ()
-        joins = [p.rung for p in mates
+        joins = [p.rung for p in s.mates(pb)
                  if p.plan.floor <= p.rung <= pb.top and p.rates[p.rung] * p.plan.adds <= free]
         if pb.rates[pb.plan.floor] > free:
             return max(joins) if joins else None
--- a/terndrift/interface.py
+++ b/terndrift/interface.py
@@ -43,6 +43,17 @@
 from enum import Enum
 
 
+class State(Enum):
+    """Of a playback, as the decisions hand it back."""
+
+    HELD = 0  # taken, waiting for room
+    TRYING = 1  # one set-up is out
+    PLAYING = 2
+    REJECTED = 3
+    ABORTED = 4
+    ENDED = 5  # nothing more is owed
+
+
 class Standing(Enum):
     """What the server list says of a streamer."""
 
--- a/terndrift/xds/patience.py
+++ b/terndrift/patience.py
@@ -1,4 +1,4 @@
-"""When a source that was lost is asked again. Decides; free of I/O and clocks.
+"""When a source of the list that was lost is asked again. Decides; free of I/O and clocks.
 
 The wait doubles with each time in a row that a source brought nothing, and is drawn between half of it
 and the whole, so that controllers that lost one source at once do not come back at once. Guards against a
@@ -14,14 +14,15 @@
 
 
 class Patience:
-    def __init__(self, seed):
-        self.seed, self.draws, self.wait = zlib.crc32(b"patience:%d" % seed), 0, LEAST
+    def __init__(self, seed, least=LEAST, most=MOST):
+        self.seed, self.draws = zlib.crc32(b"patience:%d" % seed), 0
+        self.wait, self.least, self.most = least, least, most
 
     def lost(self, brought):
         """ns to wait before the next try; `brought`: whether the last one brought anything that was taken."""
         if brought:
-            self.wait = LEAST
-        wait, self.wait = self.wait, min(MOST, 2 * self.wait)
+            self.wait = self.least
+        wait, self.wait = self.wait, min(self.most, 2 * self.wait)
         self.draws += 1
         part = zlib.crc32(b"%d" % self.draws, self.seed) * 2654435761 % 2**32 / 2**32
         return int(wait * (0.5 + 0.5 * part))
--- a/terndrift/platform/feed.py
+++ b/terndrift/platform/feed.py
@@ -3,10 +3,11 @@
 import asyncio
 import json
 import time
-import zlib
 
 from terndrift.http.client import Broken, Pool, Unreached, fetch
+from terndrift.patience import Patience
 
+SECOND = 1_000_000_000
 # ms that a call may wait for news. Short: a feed that stops while a call waits is found out this much later.
 WAIT = 1000
 # Seconds more until a call that brought nothing is given up.
@@ -24,9 +25,10 @@
     """`apply(event)` takes each event that is new; `held` is the number of the last one."""
 
     def __init__(self, address, held, apply, log, seed=0):
-        self.address, self.held, self.apply, self.log, self.seed = address, held, apply, log, seed
+        self.address, self.held, self.apply, self.log = address, held, apply, log
         self.pool, self.call = Pool(), None
-        self.broken = self.draws = 0  # calls in a row that broke
+        self.patience = Patience(seed, int(AGAIN * SECOND), int(LONGEST * SECOND))
+        self.broken = 0  # calls in a row that broke
 
     def move(self, address):
         """From now on it is at another address; the call that waits at the old one is given up."""
@@ -65,9 +67,7 @@
 
     def pause(self):
         """Seconds until the next call, after `broken` ones in a row."""
-        self.draws += 1
-        luck = zlib.crc32(f"{self.seed}:{self.draws}".encode()) * 2654435761 % 2**32 / 2**32
-        return min(LONGEST, AGAIN * 2 ** min(self.broken - 1, 8)) * (0.5 + luck / 2)
+        return self.patience.lost(self.broken == 1) / SECOND
 
     def take(self, value):
         """A reply's events, or those of the start."""
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -130,7 +130,7 @@
             wire.send(release(message.id, m.UNUSABLE))
             return
         if self.leaving:
-            self._reject(wire, message.id, self.host.core.controller.advice())
+            self._reject(wire, message.id, self.host.core.controller.advice)
             return
         if come_back := self.gate.enter(now, wire):
             self._reject(wire, message.id, come_back)
--- a/terndrift/platform/settings.py
+++ b/terndrift/platform/settings.py
@@ -66,15 +66,15 @@
     events = value["known"].get("events")
     if not isinstance(events, list):
         raise Malformed("known.events: missing, or not a list")
-    told = Told(
+    return Told(
         name=value["name"], listen=address(value["listen"], "listen"), feed=value["feed"],
         sockets=terms.whole(limits, "limits.sockets", 1024, 16),
         deployment=replace(made, seed=seed), layout=layout,
         abandons=terms.abandons(flat),
         connect=terms.whole(flat, "ceilings.connect_timeout_ns", 250 * 10**6, 1),
         tell_every=terms.whole(flat, "family_info.reports_every_ns", 0, 0),
-        drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0, 0), known=events, unknown=[])
-    return replace(told, unknown=flat.unknown())
+        drain_grace=terms.whole(flat, "rules.drain_grace_ns", 0, 0), known=events,
+        unknown=flat.unknown())  # last: what is read above counts
 
 
 def streamer_id(name):
--- a/terndrift/xds/client.py
+++ b/terndrift/xds/client.py
@@ -5,8 +5,8 @@
 
 import grpc
 
+from terndrift.patience import Patience
 from terndrift.xds import codec
-from terndrift.xds.patience import Patience
 
 SECOND = 1_000_000_000
 # A source that answers no ping for 20 to 30 s is gone, whatever its connection says.
--- a/terndrift/xds/poll.py
+++ b/terndrift/xds/poll.py
@@ -6,9 +6,9 @@
 
 from terndrift import records
 from terndrift.http.client import Broken, Pool, Unreached, fetch
+from terndrift.patience import Patience
 from terndrift.scheduler.slices import sliced
 from terndrift.xds import codec
-from terndrift.xds.patience import Patience
 from terndrift.xds.session import CLUSTER, ENDPOINT
 
 SECOND = 1_000_000_000
--- a/terndrift/xds/reporter.py
+++ b/terndrift/xds/reporter.py
@@ -4,9 +4,9 @@
 
 import grpc
 
+from terndrift.patience import Patience
 from terndrift.xds import load
 from terndrift.xds.codec import Unreadable
-from terndrift.xds.patience import Patience
 
 SECOND = 1_000_000_000
 
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -7,8 +7,8 @@
 
 from terndrift.listing.limits import Limits
 from terndrift.listing.lines import Line
+from terndrift.patience import LEAST, MOST, Patience
 from terndrift.xds import codec, meaning
-from terndrift.xds.patience import LEAST, MOST, Patience
 from terndrift.xds.session import CLUSTER, ENDPOINT, MOST_SAID, Delta, World, reasons
 from terndrift.xds.tiers import open_tiers
 from terndrift.xds.view import View
