A newcomer without room is made room for by own playbacks above their fair rung

Change: own playbacks above their fair rung go down for a newcomer that finds no room, so that the sum does not rise; a cut waits for a report of the time after it. The jam is remembered by kind alone, racks cache by time. Of two signals in a row the second could end a process going down; both wait now.

--- a/terndrift/audit/judge.py
+++ b/terndrift/audit/judge.py
@@ -125,7 +125,7 @@
     held = defaultdict(list)
     for t in facts.tries:
         if facts.plan_of(t.title)["seats"]:
-            held[t.pb.rpartition("-")[0], t.title].append((t.at, _ends(facts, t) - APART))
+            held[t.pb.rpartition("-")[0], t.title].append((t.at, ends(facts, t) - APART))
     for (controller, title), spans in held.items():
         steps = sorted([(a, 1) for a, b in spans if b > a] + [(b, -1) for a, b in spans if b > a])
         seats, now, most = facts.plan_of(title)["seats"], 0, 0
@@ -141,7 +141,7 @@
     return pb.partition("~")[0]
 
 
-def _ends(facts, t):
+def ends(facts, t):
     """When a try, or what played from it, was over for certain, as the streamer saw it."""
     if t.code != 200:
         return t.over or t.at
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -1,8 +1,6 @@
 """The decisions of a session front: which streamer sets a playback up, at which rung, or not at all.
 
-One `Controller` a front; a host calls its public methods with what it hears, each with the time in whole
-nanoseconds, and carries out what comes back: see `terndrift/interface.py`; docs/design.md tells why.
-"""
+One `Controller` a front, called with what its host hears: see `terndrift/interface.py`, docs/design.md."""
 
 import heapq
 import zlib
@@ -14,6 +12,7 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
+MARK = 0.9  # DESIGN's mark: links and uplinks are filled to nine tenths
 
 FINAL = (State.REJECTED, State.ABORTED, State.ENDED)
 FAULTS = (Ending.SILENT, Ending.UNREACHED, Ending.BROKEN)  # of a streamer, whatever was asked of it
@@ -31,8 +30,8 @@
         self.told, self.streamers = told, []
         self.heard = None  # (time, what others asked of its uplink): the last report, if that says most
         self.seen = deque(maxlen=4)  # (time, what its uplink gave, kB a second): corrections
-        self.raised = 0  # when own playbacks there last rose, or might have by chance
-        self.known = None, 0.0  # (time, what is asked at it), until something is heard or seated
+        self.raised, self.lowered = 0, 0  # when own ones there last rose, or might have by chance; were cut
+        self.known = ()  # (time, of when, what is asked), until something is heard or seated
 
     def limit(self, now):
         gave = fmean(kb for _, kb in self.seen) if self.seen else self.told
@@ -50,13 +49,10 @@
     def asked(self, now, at=None):
         if at is None and self.heard and now - self.heard[0] < 5 * SECOND:
             return self.heard[1] + self.own()
-        if at is None and self.known[0] == now:
-            return self.known[1]
-        # what a link cannot carry does not reach the uplink: one that slows down reports many times its due
-        asked = sum([min(s.asked(now, at), s.full) for s in self.streamers])
-        if at is None:
-            self.known = now, asked
-        return asked
+        if self.known[:2] != (now, at):
+            # what a link cannot carry does not reach the uplink: one that slows reports many times its due
+            self.known = now, at, sum([min(s.asked(now, at), s.full) for s in self.streamers])
+        return self.known[2]
 
 
 class Streamer:
@@ -70,7 +66,7 @@
         self.gap, self.next_try = 0, 0  # least time between set-ups while set aside (0: trusted); the next
         self.down = None  # when seen to fail: it may come back cold before the list says so
         self.slot, self.reported = None, None  # the last turn used while it is cold; the last report
-        self.raised, self.scale = 0, 0.0  # when own playbacks there last rose; their scale, together
+        self.raised, self.lowered, self.scale = 0, 0, 0.0  # as a rack's; scale of own playbacks, together
         self.streamers = (self,)  # behind its link, as a rack has those behind its uplink
         self.relist(listed)
         rack.streamers.append(self)
@@ -78,7 +74,8 @@
     def relist(self, listed):
         self.listed, weight = listed, listed.weight
         self.full = max(1.0, self.d.links.unit_kb * (weight if 0.01 < weight < 100 else 1.0))
-        self.rack.known = None, 0.0
+        self.rack.known, places = (), self.d.links.places
+        self.places = places.get(listed.kind) or min(places.values(), default=8)
 
     def limit(self, now=0):
         return self.full
@@ -145,12 +142,9 @@
         self.cells, self.places = {}, 0  # cell -> its streamers, with their place in the list
         self.gone, self.counts = {}, {}  # streamer -> since when; -> set-ups since the server list changed
         self.used, self.heard, self.typical = {}, {}, [0.0]  # streamers with own playbacks; told of
-        rates = deployment.ladder.rates
-        self.rates = {name: [kb * plan.scale for kb in rates] for name, plan in deployment.plans.items()}
-        self.steps = {name: self._steps(plan, self.rates[name]) for name, plan in deployment.plans.items()}
         self.played = set()  # titles that came to play
         self.live = any(plan.adds < 1 for plan in deployment.plans.values())
-        self.jam = None, {}  # (when, {what was asked for: draws}) of playbacks that found no place just now
+        self.jam = {}  # what was asked for -> when last no place was found for it
         self.taken, self.extra = deque(maxlen=10**5), deque(maxlen=10**5)  # times of those taken, later tries
         self.recent = deque([now], maxlen=16)  # times of the last playbacks taken, and of the start
         self.answers = deque([200 * MS], maxlen=32)  # how long set-ups took; a start until some are known
@@ -159,9 +153,9 @@
         self.changed = {}  # playbacks to hand back, in order
         # a second is about the pause viewers make by themselves; less brings them back into the same jam
         self.advice = min(SECOND, deployment.rules.longest_advice)
-        self.list_calls, self.list_gap, self.list_at = 0, 0, None
-        if within := deployment.rules.list_within:  # by rank: many start at once, and one service answers all
-            self.list_at = now + within // 4 * deployment.rank // deployment.controllers
+        self.list_calls, self.list_gap, within = 0, 0, deployment.rules.list_within
+        # by rank: many start at once, and one service answers all
+        self.list_at = now + within // 4 * deployment.rank // deployment.controllers if within else None
 
     def list_changed(self, now, entries, whole, old):
         self.counts.clear()  # the paper's reset: a newcomer must not draw all until its count catches up
@@ -258,8 +252,7 @@
                 self.lives.append(now - pb.since)
             self._turn(now, pb, State.ENDED)
         elif trying:
-            # paid at set-up, and it may have run: neither resent nor rejected
-            self._turn(now, pb, State.ABORTED if pb.spoilt() else State.HELD)
+            self._turn(now, pb, State.ABORTED if pb.spoilt() else State.HELD)  # spoilt: it is not sent again
         return self.wake(now, pb)
 
     def holders_changed(self, now, id, cells):
@@ -294,10 +287,8 @@
     def _take(self, now, id, plan, title, cells, top, time_left, hint, rates=None):
         luck, due, top = self._chance(), now + time_left, min(top, len(self.d.ladder.rates) - 1)
         pb = self.playbacks[id] = Playback(id, self.d.plans[plan], title, top, due, luck)
-        pb.cells, pb.rates, pb.steps = cells, self.rates[plan], self.steps[plan]
-        if rates:  # a title with a ladder of its own
-            pb.rates = [kb * pb.plan.scale for kb in rates]
-            pb.steps = self._steps(pb.plan, pb.rates)
+        pb.cells, pb.rates = cells, [kb * pb.plan.scale for kb in rates or self.d.ladder.rates]
+        pb.steps = self._steps(pb.plan, pb.rates)
         pb.ends = now + hint if hint else 0
         self.open[pb] = None
         return pb
@@ -354,19 +345,16 @@
         # of equal ones that were never tried only the first is looked at in one moment: guards the loop
         # against a long queue with no room, whatever fills it
         alike = None if pb.trail else (plan.name, pb.title if plan.seats else None, pb.cells, pb.rates[0])
-        if alike and self.jam[0] == now and (drawn := self.jam[1].get(alike)) is not None:
-            self.draws += drawn
+        if alike and self.jam.get(alike) == now:
             return False
-        before = self.draws
         # of very many holders some, by chance, and all if none of them will do: the least loaded of 256 is as
         # good as that of thousands, and the loop is not held. Could harm where only a few of them have room
         n = len(pb.cells) // 256
         some = list(pb.cells)[int(self._chance() * n)::n] if n > 1 else pb.cells
         if not (fresh := self._fresh(pb, some) or self._fresh(pb, pb.cells)):
             return self._reject(now, pb)  # every holder is on the trail
-        if plan.seats and self.seated(plan, pb.title) >= plan.seats:
-            return self._jammed(now, alike, before)
-        if pb.tries and not self._extra_left(now):
+        self.jam[alike] = now  # until something is sent
+        if plan.seats and self.seated(plan, pb.title) >= plan.seats or pb.tries and not self._extra_left(now):
             return False
         able = [s for s in fresh if now >= s.next_try and self._cold_turn(now, s, len(fresh))]
         if not plan.repeatable:
@@ -380,18 +368,38 @@
             lines = [s, s.rack] if s.rack.settled(now) < 5 * SECOND else [s]
             if all(at.asked(now) + pb.rates[plan.floor] <= at.limit(now) for at in lines):
                 return self._send(now, pb, s, plan.floor)
-        return self._jammed(now, alike, before)
+        for s in {s.rack: s for s in reversed(order)}.values():  # of each rack the least loaded
+            if (rung := self._yielded(now, pb, s)) is not None:
+                return self._send(now, pb, s, rung)
+        return False
+
+    def _yielded(self, now, pb, s):
+        """For a newcomer without room own playbacks above their fair rung go down, so that no more is asked
+        of link and uplink; its rung, None if they can't. Guards against a fleet that turns all away where
+        links are full and not yet cut. Could harm where reports overstate what is asked."""
+        need = pb.rates[pb.plan.floor]
+        # one of a live title frees nothing while others watch its stream
+        own = [p for m in s.rack.streamers for p in m.playbacks if p.plan.adds == 1]
+        if sum([p.rates[p.rung] - p.rates[p.plan.floor] for p in own]) < need:
+            return None
+        rungs = self._fair(now, s.rack, pb, s, True)
+        at = s if s.asked(now) + need > s.limit() else s.rack
+        over = {p: p.rates[p.rung] - p.rates[rungs[p]] for p in own
+                if p.streamer in at.streamers and p.state is State.PLAYING and p.rung > rungs[p]}
+        if sum(over.values()) < need:
+            return None
+        freed = 0.0
+        for p in sorted(over, key=over.get, reverse=True):
+            if freed < need:
+                freed += over[p]
+                self._step(now, p, rungs[p])
+        most = freed if at is s else min(freed, s.limit() - s.asked(now))
+        return max(r for r in range(pb.plan.floor, rungs[pb] + 1) if pb.rates[r] <= most)
 
     def _fresh(self, pb, cells):
         holders = sorted([x for cell in cells for x in self.cells.get(cell, {}).items()])
         return [s for _, s in holders if s.listed.standing is Standing.READY and s not in pb.trail]
 
-    def _jammed(self, now, alike, before):
-        if alike:
-            self.jam = self.jam if self.jam[0] == now else (now, {})
-            self.jam[1][alike] = self.draws - before
-        return False
-
     def _order(self, now, able, pb):
         # workload, then set-up counts among near ties; 0.05 is the noise of the reports
         use, live, counts = {s: s.use(now) for s in able}, pb.plan.adds < 1, self.counts
@@ -408,13 +416,11 @@
         return sum(p.out and p.plan is plan and p.title == title for p in self.playbacks.values())
 
     def _send(self, now, pb, s, rung):
-        self.jam = None, {}
         pb.tries += 1
         if pb.tries > 1:
             self.extra.append(now)
-        pb.streamer, pb.rung, pb.out = s, rung, True
+        pb.streamer, pb.rung, pb.out, pb.time_out = s, rung, True, pb.due - now
         pb.trail.append(s)
-        pb.time_out = pb.due - now
         if pb.plan.repeatable:  # room for a second try before the startup target. How long a silence is still
             # usual: six spreads over the mean, as the tail is long and cut off
             usual = int(max(fmean(self.answers) + 6 * pstdev(self.answers), 250 * MS))
@@ -440,7 +446,7 @@
         s.gap = min(8 * SECOND, max(SECOND, 2 * s.gap))
         s.next_try = now + s.gap
         if ending is not Ending.ERRED and s.down is None:
-            s.down, s.slot, s.rack.known = now, None, (None, 0.0)
+            s.down, s.slot, s.rack.known = now, None, ()
 
     def _well(self, now, s):
         s.gap = s.gap // 2 if s.gap > SECOND // 4 else 0
@@ -449,9 +455,6 @@
             s.down, s.slot = None, None
             s.relist(replace(s.listed, started=now))
 
-    def _places(self, s):
-        return self.d.links.places.get(s.listed.kind) or min(self.d.links.places.values(), default=8)
-
     def _slot(self, now, s):
         """Which set-up of the cold pace is due now, and how far into its turn; None: warm."""
         rules = self.d.rules
@@ -459,7 +462,7 @@
         start = max(s.listed.started, self.born) if self.began_empty else s.listed.started
         if s.down is None and (not start or now - start >= rules.cold_for):
             return None
-        places, share = self._places(s), rules.cold_share
+        places, share = s.places, rules.cold_share
         if s.down is not None:
             return places * share * (now - s.down) / rules.cold_for
         x = max(0, now - start) / rules.cold_for
@@ -473,7 +476,7 @@
         if at is None:
             return True
         # set-ups the pace allows in a window, at the least warmth; a tenth of the limit is left unused
-        fit = self._places(s) * rules.cold_share * rules.fall_window / rules.cold_for
+        fit = s.places * rules.cold_share * rules.fall_window / rules.cold_for
         share = 1 if int(fit) + 2 <= 0.9 * rules.fall_multiple * fit else 0.34
         # where playbacks are rare several ranks share a turn, up to a quarter of a playback: room for surges.
         # A streamer only suspected to be cold is one of many choices. A prime, as ids may be in a row
@@ -485,7 +488,7 @@
 
     def _hear(self, now, s, link, uplink, fresh):
         """A report: what others ask is what was asked then, less what own playbacks asked then."""
-        s.rack.known = None, 0.0
+        s.rack.known = ()
         at = now if fresh else now - self.d.links.lag
         if link is not None and 0 <= link < 100:
             s.heard.append((now, max(0.0, link * s.limit() - s.own(at))))
@@ -504,7 +507,7 @@
         return zlib.crc32(b"%d" % self.draws, self.seeded) * 2654435761 % 2**32 / 2**32
 
     def _note_own(self, now, s):
-        s.rack.known, self.jam = (None, 0.0), (None, {})
+        s.rack.known, self.jam = (), {}
         streams = self._streams([(pb, s) for pb in s.playbacks], lambda pb: pb.rung)
         s.asks.append((now, sum([pbs[0].rates[pbs[0].rung] * adds for pbs, _, adds in streams])))
         s.scale = sum([pbs[0].plan.scale * adds for pbs, _, adds in streams])
@@ -532,7 +535,7 @@
         others = own * (self.d.controllers - 1) / max(1, len(self.streamers) - len(self.gone))
         self.typical[0] = fmean(told or [others])  # until some are told: as this
         for rack in self.racks.values():
-            rack.known = None, 0.0
+            rack.known = ()
 
     def _delivered(self, now, s, share):
         """A short-delivery note. It corrects the uplink where the link has room and the rack's others
@@ -553,30 +556,25 @@
             # as only short ones are heard of; could harm where a streamer is slow by itself
             s.heard.append((now, max(0.0, s.full / max(0.3, share) - s.own(now - lag))))
 
-    MARK = 0.9  # DESIGN's mark: links and uplinks are filled to nine tenths
-
     def _budget(self, now, at, extra):
         """What own playbacks may ask: their part of the mark by number. How many others there are is
         told by what they ask, at the usual rate. Guards against first comers that take all free room."""
         mine = sum([s.scale for s in at.streamers]) + extra
         others = max(0.0, at.asked(now) - at.own()) / self.usual_kb
-        return self.MARK * at.limit(now) * mine / max(mine + others, 1e-9)
+        return MARK * at.limit(now) * mine / max(mine + others, 1e-9)
 
-    def _fair(self, now, rack, pb=None, s=None):
+    def _fair(self, now, rack, pb=None, s=None, whole=False):
         """The rungs that earn most when all own playbacks of a rack share it, a newcomer included."""
         more = pb.plan.scale * (pb.plan.adds if s.mates(pb) else 1) if pb else 0.0
         room = {at: self._budget(now, at, more * (at in (s, rack))) for at in [rack, *rack.streamers]}
         all_of = [(p, m) for m in rack.streamers for p in m.playbacks] + ([(pb, s)] if pb else [])
-        rungs, steps, drawn, free = [], [], set(), room[rack]
         streams = self._streams(all_of, lambda p: p.top)  # whose viewers go up together
+        rungs, steps, drawn, free = [pbs[0].plan.floor for pbs, _, _ in streams], [], set(), room[rack]
         for n, (pbs, at, adds) in enumerate(streams):
-            p, rung = pbs[0], pbs[0].plan.floor
-            rungs.append(rung)
-            kb = p.rates[rung] * adds
-            room[at] -= kb
-            free -= kb
-            if rung < p.top:
-                steps.append((p.steps[rung][0] * len(pbs) / adds, n, rung + 1))
+            p, kb = pbs[0], pbs[0].rates[rungs[n]] * adds
+            room[at], free = room[at] - kb, free - kb
+            if rungs[n] < p.top:
+                steps.append((p.steps[rungs[n]][0] * len(pbs) / adds, n, rungs[n] + 1))
         heapq.heapify(steps)
         while steps and free > 0:
             _, n, rung = steps[0]
@@ -586,16 +584,14 @@
             tight, least = (rack, free) if free < here else (at, here)
             # the first step that does not fit is taken by chance, so that all controllers together fill it
             if kb <= least or tight not in drawn and p.luck * kb < least:
-                room[at] -= kb
-                free -= kb
-                rungs[n] = rung
+                room[at], free, rungs[n] = room[at] - kb, free - kb, rung
                 if rung < p.top:
                     heapq.heapreplace(steps, (p.steps[rung][0] * len(pbs) / adds, n, rung + 1))
                     continue
             else:
                 drawn.add(tight)
             heapq.heappop(steps)
-            if pb in pbs:
+            if pb in pbs and not whole:
                 break  # its rung is settled, and only it is asked for
         return {p: rung for rung, (pbs, _, _) in zip(rungs, streams, strict=True) for p in pbs}
 
@@ -607,7 +603,7 @@
 
     def _rung(self, now, pb, s):
         """The highest rung that keeps link and uplink under the mark, and fair to those that play."""
-        free = min(self.MARK * s.full - s.asked(now), self.MARK * s.rack.limit(now) - s.rack.asked(now))
+        free = min(MARK * s.full - s.asked(now), MARK * s.rack.limit(now) - s.rack.asked(now))
         joins = [p.rung for p in s.mates(pb)
                  if p.plan.floor <= p.rung <= pb.top and p.rates[p.rung] * p.plan.adds <= free]
         if pb.rates[pb.plan.floor] > free:
@@ -617,20 +613,21 @@
 
     def _companion(self, now, rack):
         """Correct the rungs of what plays, as reports and notes arrive."""
-        rungs = self._fair(now, rack)
+        rungs, known = self._fair(now, rack), rack.settled(now) < 5 * SECOND
         # what is over goes down; of free room each controller takes its part by what it asks, then waits for
         # news. A step over that part is taken by chance, if the uplink is known: else none of many rises
-        cut, room, part, ladder, known = {}, {}, {}, self.d.ladder, rack.settled(now) < 5 * SECOND
+        cut, room, part, ladder, lag = {}, {}, {}, self.d.ladder, self.d.links.lag
         for at in [rack, *rack.streamers]:
             asked, own, limit = at.asked(now), at.own(), at.limit(now)
             # a told uplink is a mean: only one measured lately cuts. A tenth over may be noise of reports,
             # but not where short notes measured it (one sample)
             over = 1.03 if at is rack and len(rack.seen) == 1 else 1.1
             sure = asked > over * limit and (known or at is not rack)
-            cut[at] = (asked - limit) * own / asked if sure else 0.0
+            told = max([t for t, _ in (at.seen if at is rack else at.heard)], default=lag + 1) - lag
+            cut[at] = (asked - limit) * own / asked if sure and told > at.lowered else 0.0
             # rises leave a tenth for the next newcomer, but on an uplink known well
-            fill = self.MARK - (0 if at is rack and known else 0.1)
-            told = now - 2 * SECOND if at is rack else at.heard[-1][0] - self.d.links.lag if at.heard else 1
+            fill = MARK - (0 if at is rack and known else 0.1)
+            told = now - 2 * SECOND if at is rack else told
             room[at] = fill * limit - asked if told > at.raised else 0.0
             part[at] = room[at] * (own / asked if known and asked else 1 / self.d.controllers)
         for pb in sorted(rungs, key=lambda pb: rungs[pb] - pb.rung):
@@ -639,7 +636,9 @@
                 continue
             if pb.rung > fair and max(cut[s], cut[rack]) > 0:
                 kb = pb.rates[pb.rung] - pb.rates[fair]
-                cut[s], cut[rack] = cut[s] - kb, cut[rack] - kb
+                for at in (s, rack):
+                    at.lowered = now if cut[at] > 0 else at.lowered
+                    cut[at] -= kb
                 self._step(now, pb, fair)
             # 8 s between steps of one playback keep to the three a minute that the design allows
             elif pb.rung < fair and now - pb.stepped > 8 * SECOND and min(part[s], part[rack]) > 0:
--- a/terndrift/process.py
+++ b/terndrift/process.py
@@ -19,7 +19,10 @@
 
 def goes_down(loop, numbers):
     """A signal that comes while the process goes down must not be told as its death by that signal: loop and
-    interpreter would put back the system's own way with it as they close, unless it is ignored."""
+    interpreter would put back the system's own way with it as they close, unless it is ignored. They wait
+    meanwhile: between the two calls the system's own way holds."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
     for number in numbers:
         loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
