--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -143,31 +143,60 @@
 @cli.command()
 @click.argument("day")
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--controllers", type=click.IntRange(1, 64), default=3, show_default=True)
-@click.option("--streamers", type=click.IntRange(1, 512), default=12, show_default=True)
-@click.option("--seconds", type=click.IntRange(5, 7200), default=60, show_default=True)
+@click.option("--controllers", type=click.IntRange(1, 64), help="If not as many as the day says.")
+@click.option("--streamers", type=click.IntRange(1, 512), help="If not as many as the day says.")
+@click.option("--seconds", type=click.IntRange(5, 7200), help="If not as long as the day says.")
 @click.option("--policy", default="design", show_default=True, help="The design, or a baseline beside it.")
 @click.option("--report", "out", type=click.Path(dir_okay=False), help="Write the report here, as JSON.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep ledgers and logs in this folder.")
-def rehearse(day, seed, controllers, streamers, seconds, policy, out, keep):
+@click.option("--plot", type=click.Path(dir_okay=False), help="Draw the day second by second (PNG, SVG).")
+@click.option("--virtual", is_flag=True, help="In virtual time, without processes: days without troubles.")
+def rehearse(day, seed, controllers, streamers, seconds, policy, out, keep, plot, virtual):
     """Play DAY (a name, or a day's records file) on loopback; exit 0 only if all six rules held."""
     import os
 
     from terndrift.rehearse import run
 
+    played = run.load(day)
+    size = played["size"]
+    sizes = controllers or size["controllers"], streamers or size["streamers"], seconds or size["seconds"]
+    if virtual:
+        report = _virtual(played, seed, sizes, policy, plot)
+        return _told(report, day, out)
     if keep:
         os.makedirs(keep, exist_ok=True)
-    rehearsal = run.Rehearsal(run.load(day), seed, controllers, streamers, seconds, policy, keep)
+    rehearsal = run.Rehearsal(played, seed, *sizes, policy, keep, plot)
     try:
         report = asyncio.run(rehearsal.run())
     except run.NotStarted as wrong:
         click.echo(f"terndrift: {wrong}", err=True)
         sys.exit(3)
+    return _told(report, day, out)
+
+
+def _virtual(day, seed, sizes, policy, plot):
+    from terndrift.rehearse import virtual
+    from terndrift.rehearse.baselines import POLICIES
+
+    try:
+        world = virtual.World(day, seed, *sizes, POLICIES[policy])
+    except virtual.NotPlayed as wrong:
+        raise click.UsageError(str(wrong)) from None
+    world.run()
+    facts = world.facts()
+    if plot:
+        from terndrift.rehearse.plot import plot as draw
+
+        draw(facts, world.seconds, plot, f"seed {seed}, {sizes[0]} controllers, virtual time")
+    return world.report(facts)
+
+
+def _told(report, day, out):
     if out:
         with open(out, "w", encoding="utf-8") as file:
             json.dump({"day": day, **report}, file, indent=1)
     click.echo(json.dumps(report, indent=1))
-    sys.exit(1 if any(report["rules"].values()) or report["bugs"] or report["wrong_placements"] else 0)
+    sys.exit(1 if any(report["rules"].values()) or report["bugs"] or report.get("wrong_placements") else 0)
 
 
 @cli.group()
--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from terndrift import deployment, records
-from terndrift.audit import calls, figures, judge, placements, told_off
+from terndrift.audit import calls, figures, judge, placements, seconds, told_off
 from terndrift.http.client import Broken, Call, Pool, Unreached
 from terndrift.rehearse.churn import Churn
 from terndrift.rehearse.draw import drawn
@@ -66,9 +66,10 @@
 
 
 class Rehearsal:
-    def __init__(self, day, seed, controllers, streamers, seconds, policy="design", folder=None):
+    def __init__(self, day, seed, controllers, streamers, seconds, policy="design", folder=None,
+                 plot=None):
         self.day, self.seed, self.seconds, self.policy = day, seed, seconds, policy
-        self.controllers, self.folder = controllers, folder
+        self.controllers, self.folder, self.plot = controllers, folder, plot
         self.drawn = drawn(day, seed, controllers, streamers, seconds)
         self.processes, self.started, self.standing = {}, {}, {}
         self.lines, self.addresses, self.admins, self.sips = {}, [], {}, []
@@ -90,7 +91,12 @@
         finally:
             await self._stop()
             self.ledger.flush()
-        report = self.report()
+        facts = self.facts()
+        report = self.report(facts)
+        if self.plot:
+            from terndrift.rehearse.plot import plot  # a rehearsal without a plot needs none of it
+
+            plot(facts, self.seconds, self.plot, f"seed {self.seed}, {self.controllers} controllers")
         if own:
             own.cleanup()
         return report
@@ -136,6 +142,10 @@
         for rack in racks:
             await self._appears(f"rack{rack}", self.path(f"rack{rack}.ready"))
             self.lines.update(records.load(self.path(f"rack{rack}.ready"), "list")["streamers"])
+        places = d["links"]["places"]
+        begin = time.monotonic_ns() + int((self.begin - time.time()) * SECOND)
+        self.ledger.note("fleet", begin=begin, uplinks={str(n): up for n, up in self.drawn.uplinks.items()},
+                         streamers=[{**s, "places": places.get(s["kind"], 8)} for s in self.drawn.streamers])
         if self.day["calls"]["rooms"]:
             await self._rooms()
         if self.churn:
@@ -263,14 +273,16 @@
         rooms = ["rooms.jsonl"] if self.day["calls"]["rooms"] else []
         return [f"rack{rack}.jsonl" for rack in sorted(self.drawn.uplinks)] + rooms
 
-    def report(self):
+    def facts(self):
         notes = {"viewers": read(self.path("viewers.jsonl")), "runner": read(self.path("runner.jsonl")),
                  "streamers": [n for name in self._ledgers() for n in read(self.path(name))]}
-        facts = judge.Facts(self.day["deployment"], notes, told_within=LIST_POLL + 0.2)
+        return judge.Facts(self.day["deployment"], notes, told_within=LIST_POLL + 0.2)
+
+    def report(self, facts):
         return {"seed": self.seed, "policy": self.policy, "controllers": self.controllers,
                 "streamers": len(self.drawn.streamers), "seconds": self.seconds,
                 **figures.report(facts, [a for a in self.drawn.arrivals if not a["call"]]),
-                **placements.report(facts),
+                **seconds.report(facts, self.seconds), **placements.report(facts),
                 **(calls.report(facts, self.drawn.arrivals) if self.day["calls"]["rooms"] else {}),
                 **(told_off.report(facts) if self.churn else {}), **judge.report(facts)}
 
--- a/terndrift/rehearse/virtual.py
+++ b/terndrift/rehearse/virtual.py
@@ -32,6 +32,10 @@
 PATIENCE = 2 * SECOND  # a picture that stands so long is left
 
 
+class NotPlayed(ValueError):
+    """The day has what this world has not."""
+
+
 class Rack:
     def __init__(self, given):
         self.given, self.streamers = given, []
@@ -249,7 +253,7 @@
         d = day["deployment"]
         self.drawn = drawn(day, seed, controllers, streamers, seconds)
         if day["troubles"] or day["calls"]["titles"] or self.drawn.swaps or self.drawn.churn:
-            raise ValueError("a day with troubles, calls, swaps or churn is not played in virtual time")
+            raise NotPlayed("a day with troubles, calls, swaps or churn is not played in virtual time")
         self.day, self.seed, self.seconds, self.now = day, seed, seconds, 1000 * SECOND
         self.events, self.order = [], itertools.count()
         self.notes = {"viewers": [], "streamers": [], "runner": []}
@@ -300,9 +304,12 @@
             call(*args)
         return self.notes
 
-    def report(self):
+    def facts(self):
+        return judge.Facts(self.day["deployment"], self.notes, told_within=0.0)
+
+    def report(self, facts=None):
         """As of a rehearsal over processes."""
-        facts = judge.Facts(self.day["deployment"], self.notes, told_within=0.0)
+        facts = facts or self.facts()
         return {"seed": self.seed, "controllers": len(self.fronts), "streamers": len(self.streamers),
                 "seconds": self.seconds, **figures.report(facts, self.drawn.arrivals),
                 **seconds.report(facts, self.seconds), **judge.report(facts)}
--- a/terndrift/standin/fleet.py
+++ b/terndrift/standin/fleet.py
@@ -1,6 +1,7 @@
 """A fleet of stand-in streamers in one process, racks shared, with faults by script."""
 
 import asyncio
+import itertools
 import os
 import signal
 import time
@@ -11,6 +12,7 @@
 from terndrift.standin.streamer import Streamer
 
 SECOND = 1_000_000_000
+SAMPLE = 0.1  # s between the figures that are told later: a fifth of the shortest lag that days use
 
 
 class Rack:
@@ -41,7 +43,7 @@
             rack = self.racks.setdefault(row["rack"], Rack(d["links"]["uplink"]))
             s = self.streamers[row["id"]] = Streamer(
                 {**row, "name": name}, rack, titles, d["rules"], d["links"]["places"].get(row["kind"], 8),
-                self.shaper, self.ledger, d["segment"], d["ladder"]["rates"])
+                self.shaper, self.ledger, d["segment"], d["ladder"]["rates"], d["links"]["lag"])
             rack.streamers.append(s)
 
     def start(self):
@@ -51,12 +53,13 @@
         self.ledger.flush()
 
     async def _sample(self):
-        while True:
-            await asyncio.sleep(0.5)
+        for n in itertools.count():
+            await asyncio.sleep(SAMPLE)
             now = time.monotonic_ns()
             for s in self.streamers.values():
                 s.sample(now)
-            self.ledger.flush()
+            if n % 5 == 0:
+                self.ledger.flush()
 
     async def _script(self):
         await asyncio.gather(*(self._fault(f) for f in self.value["script"]))
@@ -64,7 +67,8 @@
     async def _fault(self, fault):
         await asyncio.sleep(max(0.0, self.value["begin"] + fault["at"] / SECOND - time.time()))
         kind, size, lasts = fault["kind"], fault["size"], fault["lasts"] / SECOND
-        self.ledger.note("fault", kind=kind, streamers=fault["streamers"], racks=fault["racks"])
+        self.ledger.note("fault", kind=kind, streamers=fault["streamers"], racks=fault["racks"], size=size,
+                         lasts=fault["lasts"])
         hit = [self.streamers[i] for i in fault["streamers"] if i in self.streamers]
         racks = [self.racks[i] for i in fault["racks"] if i in self.racks]
         for s in hit:
--- a/terndrift/standin/streamer.py
+++ b/terndrift/standin/streamer.py
@@ -26,7 +26,7 @@
 class Streamer:
     """`row`: its line of the fleet; `titles`: name -> (plan's rates, segments, seconds of one)."""
 
-    def __init__(self, row, rack, titles, rules, places, shaper, ledger, segment, ladder):
+    def __init__(self, row, rack, titles, rules, places, shaper, ledger, segment, ladder, lag):
         self.id, self.name, self.rack = row["id"], row["name"], rack
         self.row, self.titles, self.rules, self.places = row, titles, rules, places
         self.shaper, self.ledger, self.segment, self.ladder = shaper, ledger, segment, ladder
@@ -34,7 +34,7 @@
         self.streams, self.recent, self.busy = {}, deque(), 0
         self.started = 0  # ns on the monotonic clock; 0: long ago
         self.faults, self.draws, self.fallen = {}, 0, False  # kind of fault -> size
-        self.late_use = deque([(0, 0.0, 0.0)], maxlen=8)
+        self.lag, self.late_use = lag, deque([(0, 0.0, 0.0)])
         self.server, self.address, self.fault_over = None, row["listen"], asyncio.Event()
 
     def start(self, cold=False):
@@ -78,8 +78,10 @@
         return self.asked() / self.link.given(), self.rack.asked() / self.rack.uplink.given()
 
     def sample(self, now):
-        """Now and then: what is told with media is of seconds ago, what is told at set-ups is fresh."""
+        """Now and then: what is told with media is as late as the deployment says, at set-ups it is fresh."""
         self.late_use.append((now, *self.use()))
+        while self.late_use[1][0] <= now - self.lag:
+            self.late_use.popleft()
         for pb in [pb for pb, s in self.streams.items() if now - s.heard > IDLE]:
             del self.streams[pb]
 
