--- a/terndrift/http/client.py
+++ b/terndrift/http/client.py
@@ -171,7 +171,7 @@
 
 
 async def fetch(pool, address, method, target, headers=None, connect=1.0, within=5.0, most=1 << 20,
-                body=b""):
+                body=b"", fresh=False):
     """A whole small answer: (code, headers, body). Raises Unreached, Broken (also when it takes too long)."""
     call, got = Call(pool, address), bytearray()
 
@@ -180,7 +180,7 @@
         if len(got) > most:
             call.close()
 
-    await call.open(connect)
+    await call.open(connect, fresh)
     try:
         await asyncio.wait_for(call.run(method, target, headers or {}, on_chunk=collect, body=body),
                                within)
--- a/terndrift/standin/player.py
+++ b/terndrift/standin/player.py
@@ -60,9 +60,11 @@
                          controller=address, until=time.monotonic_ns() + int(self.abandon * SECOND))
         path = f"/v/{self.title}/main.m3u8"
         try:
+            # on a connection of its own: one that was idle may be closing just then (the controller does so
+            # after its `header_time`); the request is never taken then, and would be judged lost
             code, headers, body = await fetch(
                 self.pool, address, "GET", path, self.said(ot="m", su=True), connect=1.0,
-                within=self.abandon + 1.0)
+                within=self.abandon + 1.0, fresh=True)
         except (Unreached, Broken) as wrong:
             self.ledger.note("no answer", ask=ask, why=type(wrong).__name__)
             return 0.0
