A streamer listed ready again is noted before the list is written, not after

Seen under load (catalogue-swap, six rehearsals and six busy loops): rule 3 judged broken, a try 8,120 ms after its streamer was listed off, which was listed ready 8,000 ms after. The runner noted the list after writing it, so a process held up in between made the controller look early.

--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -226,8 +226,13 @@
             if self.churn:
                 self.churn.tell()
                 continue
+            # told off from when the list says so at the latest, ready again from then at the earliest: a busy
+            # machine may hold this process up between the two
+            if standing == "ready":
+                self.ledger.note("listed", streamer=id, standing=standing)
             self._write_list()
-            self.ledger.note("listed", streamer=id, standing=standing)
+            if standing != "ready":
+                self.ledger.note("listed", streamer=id, standing=standing)
 
     async def _swaps(self, n):
         """Changes one controller's catalogue, and notes from when to when a change may count either way."""
