Members of a fleet and a record among voters, free of I/O, with a checker of small worlds

SWIM with suspicion and local health, a log after Raft whose voters do not believe their disks, a world in virtual time and a search by breadth over what can happen to three voters. Nothing of the program uses it yet.

--- /dev/null
+++ b/terndrift/fleet/agreed.py
@@ -0,0 +1,110 @@
+"""What is agreed, as every controller has it: the state that the entries amount to, and how old that is."""
+
+from terndrift.fleet.messages import Agreed, Pull
+
+MS = 1_000_000
+SECOND = 1000 * MS
+# Ids of proposals remembered: one sent again within so many entries counts once.
+IDS = 4096
+# Pieces of one answer: what fits a body with room to spare.
+PIECE = 500
+
+
+def beginning(epoch, voters=()):
+    return {"epoch": list(epoch), "last": 0, "term": 0, "voters": dict(voters), "map": {}, "ids": {}}
+
+
+def applied(state, index, entry):
+    """Changes `state` by the next entry. A value is {key: value}; None takes a key out."""
+    assert index == state["last"] + 1, f"entry {index} after {state['last']}"
+    state["last"], state["term"] = index, entry.term
+    if entry.kind == "voters":
+        state["voters"] = dict(entry.value)
+    elif entry.kind == "value" and entry.id not in state["ids"]:
+        state["ids"][entry.id] = index
+        while len(state["ids"]) > IDS:
+            del state["ids"][next(iter(state["ids"]))]
+        for key, value in entry.value.items():
+            if value is None:
+                state["map"].pop(key, None)
+            else:
+                state["map"][key] = value
+
+
+def copied(state):
+    """One that is not changed with it; values are never changed in place."""
+    return {**state, "voters": dict(state["voters"]), "map": dict(state["map"]), "ids": dict(state["ids"])}
+
+
+class Follower:
+    """The agreed part of the record at a controller, voter or not. `out`: (to, message)."""
+
+    def __init__(self, now):
+        self.state, self.entries = beginning((0, "")), []  # entries: the last ones, for those who ask
+        self.as_of = None  # the latest time of which this is known to be all that was agreed
+        self.out, self.asked_at, self.heard = [], 0, []  # heard: (index, entry) that came to be agreed
+
+    @property
+    def epoch(self):
+        return tuple(self.state["epoch"])
+
+    @property
+    def last(self):
+        return self.state["last"]
+
+    def age(self, now):
+        """ns; None: it never was known to be all."""
+        return None if self.as_of is None else max(0, now - self.as_of)
+
+    def known_at(self, at):
+        self.as_of = at if self.as_of is None else max(self.as_of, at)
+
+    def take(self, entry):
+        index = self.last + 1
+        applied(self.state, index, entry)
+        self.entries.append(entry)
+        if len(self.entries) > 2 * PIECE:
+            del self.entries[:PIECE]
+        self.heard.append((index, entry))
+
+    def begin(self, state):
+        """Another beginning: of a later epoch, or further on than what is here."""
+        epoch_changed = tuple(state["epoch"]) != self.epoch
+        self.state, self.entries = copied(state), []
+        if epoch_changed:
+            self.as_of = None
+
+    def told(self, now, sender, epoch, agreed, age):
+        """What rides on every message: how far its sender is, and how old that is (ms)."""
+        if (epoch, agreed) > (self.epoch[0], self.last):
+            if now - self.asked_at > 100 * MS:
+                self.asked_at = now
+                self.out.append((sender, Pull(self.epoch, self.last)))
+        elif (epoch, agreed) == (self.epoch[0], self.last) and age >= 0:
+            self.known_at(now - age * MS)
+
+    def asked(self, now, sender, pull):
+        if pull.epoch > self.epoch or pull.epoch == self.epoch and pull.last >= self.last:
+            return
+        first = self.last - len(self.entries)
+        age = self.age(now)
+        if pull.epoch == self.epoch and pull.last >= first:
+            after, part, state = pull.last, self.entries[pull.last - first:][:PIECE], None
+        else:
+            after, part, state = self.last, [], copied(self.state)
+        said = Agreed(self.epoch, after, part, self.last, state, -1 if age is None else age)
+        self.out.append((sender, said))
+
+    def answered(self, now, sender, got):
+        if got.epoch < self.epoch:
+            return
+        if got.state is not None and (got.epoch, got.state["last"]) > (self.epoch, self.last):
+            self.begin(got.state)
+        if got.epoch == self.epoch and got.after <= self.last:
+            for entry in got.entries[self.last - got.after:]:
+                self.take(entry)
+        if got.epoch == self.epoch and self.last >= got.agreed:
+            if got.age >= 0:
+                self.known_at(now - got.age)
+        elif got.entries or got.state:
+            self.out.append((sender, Pull(self.epoch, self.last)))
--- /dev/null
+++ b/terndrift/fleet/member.py
@@ -0,0 +1,164 @@
+"""One controller of a fleet, free of I/O: its members, its part of the record, and what rides on every
+message.
+
+What comes in is opened already (`messages.opened`). `out` has (to, bytes), in order; `writes` the records to
+be made durable: what a voter says after them is held until the host tells by `kept` that they are.
+"""
+
+from terndrift.fleet import messages
+from terndrift.fleet.agreed import Follower
+from terndrift.fleet.members import Members
+from terndrift.fleet.messages import Agreed, Propose, Pull
+from terndrift.fleet.record import Role, Voter
+
+MS = 1_000_000
+SECOND = 1000 * MS
+AGAIN = SECOND  # a proposal not seen agreed is sent again, through another member, this often
+MOST_HOPS = 3
+MOST_PROPOSALS = 256  # of one controller not yet seen agreed
+
+
+class Controller:
+    """`known`: names of all whom the records name, this one included; `durable`: a voter's, None for
+    others."""
+
+    def __init__(self, fleet, me, known, voters, durable, run, now, mint, seed=0):
+        self.fleet, self.me, self.known, self.voters = fleet, me, set(known), list(voters)
+        self.members = Members(me, known, run, now, seed)
+        self.follower = Follower(now)
+        self.voter = None
+        if durable is not None:
+            self.voter = Voter(me, voters, durable, self.follower, now, mint, seed)
+        self.out, self.writes, self.wrote, self.held = [], [], 0, []  # held: (wrote, to, bytes)
+        self.proposals = {}  # id -> [value, when to send it again, how often it was]
+        self.started = now
+        self._after(now)
+
+    def next_at(self):
+        times = [self.members.next_at()] + [p[1] for p in self.proposals.values()]
+        return min(times + [self.voter.next_at()] if self.voter else times)
+
+    def received(self, now, sealed):
+        sender, m = sealed.sender, sealed.message
+        self.follower.told(now, sender, sealed.epoch, sealed.agreed, sealed.age)
+        if isinstance(m, messages.Raft):
+            if self.voter:
+                self.voter.received(now, sender, m)
+        elif isinstance(m, Pull):
+            self.follower.asked(now, sender, m)
+        elif isinstance(m, Agreed):
+            self.follower.answered(now, sender, m)
+        elif isinstance(m, Propose):
+            self._proposed(now, m)
+        else:
+            self.members.received(now, sender, m)
+        self._after(now)
+
+    def tick(self, now):
+        if self.members.next_at() <= now:
+            self.members.tick(now)
+        if self.voter and self.voter.next_at() <= now:
+            self.voter.tick(now)
+        for id, p in list(self.proposals.items()):
+            if id in self.follower.state["ids"]:
+                del self.proposals[id]
+            elif now >= p[1]:
+                p[1], p[2] = now + AGAIN, p[2] + 1
+                self._proposed(now, Propose(id, p[0]), p[2])
+        self._after(now)
+
+    def kept(self, now, wrote):
+        while self.held and self.held[0][0] <= wrote:
+            self.out.append(self.held.pop(0)[1:])
+        if self.voter:
+            self.voter.kept(now, wrote)
+            self._after(now)
+
+    def propose(self, now, id, value):
+        """Until it is seen agreed here it is sent again; False: too many wait already."""
+        if id not in self.proposals and len(self.proposals) >= MOST_PROPOSALS:
+            return False
+        self.proposals[id] = [value, now + AGAIN, 0]
+        self._proposed(now, Propose(id, value))
+        self._after(now)
+        return True
+
+    def leave(self, now):
+        """A planned stop, said to the others; a leader gives its place up first."""
+        if self.voter:
+            self.voter.stop(now)
+        self.members.leave(now)
+        self._after(now)
+
+    def restart(self, now, state):
+        self.voter.restart(now, state)
+        self._after(now)
+
+    def leader(self):
+        """By what this controller knows; None: nobody, or it can't tell."""
+        return self.voter.leader if self.voter else None
+
+    def cut_off(self, now):
+        """ns for which it has not known what is agreed; 0 while it does."""
+        age = self.follower.age(now)
+        if self.follower.epoch[0] == 0:
+            return 0
+        age = now - self.started if age is None else age
+        return age if age > CUT else 0
+
+    def _proposed(self, now, m, again=0):
+        if self.voter and self.voter.propose(now, m.id, m.value):
+            return
+        if m.hops >= MOST_HOPS:
+            return
+        to = self.leader()
+        if to in (None, self.me) or again > 1:
+            there = [v for v in self.voters if v != self.me and v in self.members.alive()]
+            to = there[(now // MS + again) % len(there)] if there else None
+        if to:
+            self._say(now, [(to, Propose(m.id, m.value, m.hops + 1))])
+
+    def _after(self, now):
+        """Gathers what there is to send and to keep; what a voter says waits for what it wrote before."""
+        v, f = self.voter, self.follower
+        if v:
+            v.newer_epoch(now)
+            self.writes += v.writes
+            v.writes, self.wrote = [], v.wrote
+            said, v.out = v.out, []
+            self._say(now, said, v.wrote if self.writes or self.held else 0)
+        said = f.out + self.members.out
+        f.out, self.members.out = [], []
+        self._say(now, said)
+
+    def _say(self, now, said, after=0):
+        f = self.follower
+        age = f.age(now)
+        for to, m in said:
+            data = messages.sealed(self.fleet, self.me, to, m, f.epoch[0], f.last,
+                                   -1 if age is None else age // MS)
+            if after:
+                self.held.append((after, to, data))
+            else:
+                self.out.append((to, data))
+
+    # What operators see.
+
+    def report(self, now):
+        f, v = self.follower, self.voter
+        age = f.age(now)
+        out = {"name": self.me, "epoch": list(f.epoch), "agreed": f.last,
+               "age_s": None if age is None else round(age / SECOND, 3),
+               "cut_off_s": round(self.cut_off(now) / SECOND, 1), "voters": f.state["voters"],
+               "proposals": len(self.proposals), "role": "follower"}
+        if v:
+            out |= {"role": v.role.value, "identity": v.identity, "term": v.d.term, "leader": v.leader,
+                    "log": v.d.last, "doubts": v.role in (Role.DOUBTING, Role.OUT)}
+            if v.role is Role.LEADER:
+                out["followers"] = {n: v.match.get(i, 0) for n, i in v.d.voters().items() if n != self.me}
+        return out
+
+
+# Older than this, and a controller says that it is cut off: beats and their echo through members take a few
+# pings in a large fleet.
+CUT = 5 * SECOND
--- /dev/null
+++ b/terndrift/fleet/messages.py
@@ -0,0 +1,192 @@
+"""What controllers say to each other: msgspec structs in MessagePack, one to a datagram or an HTTP body.
+
+`Sealed` is around every message: a fleet's name, who speaks and to whom. What does not fit is dropped by
+`opened`, never an exception: datagrams come from anywhere.
+"""
+
+import msgspec
+
+# A datagram that no network on the way has to cut: what IPv6 carries whole (RFC 8200, 5), less headers.
+DATAGRAM = 1200
+# A body over HTTP: a part of the record, or all members of a large fleet.
+BODY = 4 << 20
+
+
+class Message(msgspec.Struct, array_like=True, tag=True, frozen=True, omit_defaults=True):
+    pass
+
+
+# Members (members.py).
+
+
+class News(msgspec.Struct, array_like=True, frozen=True):
+    """What is said of a member: `run`, its start (ms since 1970); `incarnation` counts its own
+    refutations."""
+
+    name: str
+    run: int
+    incarnation: int
+    state: int  # members.Standing
+
+
+class Ping(Message):
+    seq: int
+    news: list[News] = []
+
+
+class Ack(Message):
+    seq: int
+    news: list[News] = []
+
+
+class AskFor(Message):
+    """Please ping that member for me; `Nack` tells that it did not answer you either (Lifeguard)."""
+
+    seq: int
+    target: str
+    news: list[News] = []
+
+
+class Nack(Message):
+    seq: int
+
+
+class Whole(Message):
+    """All that a member knows; the other side answers with its own, unless this is the answer."""
+
+    news: list[News]
+    answer: bool = False
+
+
+# The record (record.py). `epoch`: (number, mark) of its beginning; `who`: identity of the speaking voter.
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    term: int
+    kind: str  # "begin" of a leader's term, "voters" in force from here on, or "value"
+    id: str  # of the proposal
+    value: object = None
+
+
+class Raft(Message):
+    epoch: tuple[int, str]
+    who: str
+    term: int
+
+
+class AskVote(Raft):
+    last_term: int
+    last: int
+    pre: bool  # would you vote for me? Nothing is changed by it
+    planned: bool = False  # the leader stops and has named me: it does not matter how lately it was heard
+
+
+class Vote(Raft):
+    granted: bool
+    pre: bool
+    asked: int  # the term asked for
+
+
+class Append(Raft):
+    before_term: int
+    before: int
+    entries: list[Entry]
+    agreed: int
+    round: int  # of the leader's questions: an answer tells that it was heard since
+    seen: dict[str, int] = {}  # identity -> the highest entry that it was seen to confirm
+
+
+class Kept(Raft):
+    ok: bool
+    last: int  # kept up to here; not ok: try from here
+    round: int
+
+
+class Base(Raft):
+    """The state up to `last`, for one whose next entries are no longer kept."""
+
+    last_term: int
+    last: int
+    state: dict
+    round: int
+
+
+class Lead(Raft):
+    """Stand for election now: the leader is about to stop."""
+
+
+class Hello(Raft):
+    """A voter that has started asks the others what they hold and have seen of it."""
+
+    nonce: str
+    last: int
+
+
+class Seen(Raft):
+    nonce: str
+    last_term: int
+    last: int
+    yours: int  # the highest entry that you were seen to confirm
+    voters: dict[str, str]
+
+
+class LetIn(Raft):
+    """A voter under a new identity asks to be let in."""
+
+    name: str
+
+
+class Propose(Message):
+    id: str
+    value: object
+    hops: int = 0
+
+
+class Pull(Message):
+    """From a follower: what is agreed after `last` of that epoch?"""
+
+    epoch: tuple[int, str]
+    last: int
+
+
+class Agreed(Message):
+    """Of what is agreed: the state up to `last`, or entries from `after` on."""
+
+    epoch: tuple[int, str]
+    after: int
+    entries: list[Entry]
+    agreed: int
+    state: dict | None = None
+    age: int = 0  # ns since the sender knew this to be all that is agreed
+
+
+class Sealed(msgspec.Struct, array_like=True, frozen=True):
+    fleet: str
+    sender: str
+    to: str
+    message: (Ping | Ack | AskFor | Nack | Whole | AskVote | Vote | Append | Kept | Base | Lead | Hello | Seen
+              | LetIn | Propose | Pull | Agreed)
+    epoch: int = 0
+    agreed: int = 0  # how much of the record the sender has: who has less asks it for the rest
+    age: int = -1  # ms since it knew that to be all; -1: it never did
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Sealed).decode
+
+
+def sealed(fleet, sender, to, message, epoch=0, agreed=0, age=-1):
+    return _encode(Sealed(fleet, sender, to, message, epoch, agreed, age))
+
+
+def opened(data, fleet, me, known):
+    """The Sealed, or a word on why it is dropped."""
+    if len(data) > BODY:
+        return "huge"
+    try:
+        found = _decode(data)
+    except (msgspec.DecodeError, RecursionError, OverflowError):
+        return "garbage"
+    if found.fleet != fleet or found.to != me:
+        return "astray"
+    return found if found.sender in known and found.sender != me else "unknown"
