--- a/terndrift/catalogue/admin.py
+++ b/terndrift/catalogue/admin.py
@@ -10,6 +10,9 @@
     GET  /catalogue/diff?from=3&to=5
     GET  /listing                       the list in force, its sources, alarms and limits; loads heard
     POST /listing/confirm               {source, addresses}: what it dropped in panic is gone; null: all
+    GET  /fleet/members, /fleet/record  who is there, as seen here; what is agreed
+    POST /fleet/propose                 {id, value, wait}: an entry of the record
+    POST /fleet/restart                 {state}: the record begins anew, with that state or (null) empty
 """
 
 import json
@@ -37,8 +40,9 @@
 class Admin:
     """`listed()`: ids of the streamers that the list names; `listing`: a listing.service.Listing."""
 
-    def __init__(self, catalogue, listed, listing=None, loads=dict):
+    def __init__(self, catalogue, listed, listing=None, loads=dict, fleet=None):
         self.catalogue, self.listed, self.listing, self.loads = catalogue, listed, listing, loads
+        self.fleet = fleet
 
     async def handle(self, exchange):
         try:
@@ -58,6 +62,8 @@
         parts, method = exchange.path.strip("/").split("/"), exchange.method
         if parts[0] == "listing" and self.listing is not None and len(parts) <= 2:
             return await self._list(exchange, parts[1:])
+        if parts[0] == "fleet" and self.fleet is not None and len(parts) == 2:
+            return await self._fleet(exchange, parts[1])
         if parts[0] != "catalogue" or len(parts) > 3:
             raise Bad(404, "nothing here")
         if len(parts) == 1:
@@ -122,6 +128,19 @@
             raise Bad(422, "addresses: a list of HOST:PORT is wanted")
         return await exchange.reply(200, data={"gone": self.listing.confirm(named, addresses)})
 
+    async def _fleet(self, exchange, what):
+        if what in ("members", "record"):
+            self._only(exchange, "GET")
+            return await exchange.reply(200, data=getattr(self.fleet, what)())
+        if what not in ("propose", "restart"):
+            raise Bad(404, "nothing here")
+        self._only(exchange, "POST")
+        value = self._json(exchange)
+        if not isinstance(value, dict):
+            raise Bad(422, "an object is wanted")
+        code, said = await (self.fleet.propose if what == "propose" else self.fleet.restart)(value)
+        return await exchange.reply(code, data=said)
+
     async def _about(self, exchange):
         v = self.catalogue.versions
         unlisted = self.catalogue.unlisted(self.listed())
--- /dev/null
+++ b/terndrift/cli/fleet.py
@@ -0,0 +1,166 @@
+"""`terndrift fleet`: who is there, what is agreed, and what operators do about it, on any controller's
+admin."""
+
+import json
+import os
+import time
+
+import click
+
+from terndrift.cli.stored import address, ask, fail, shown
+from terndrift.fleet.record import Durable
+from terndrift.fleet.service import STREAM
+from terndrift.store.files import Files
+from terndrift.store.store import look
+
+AS_JSON = click.option("--json", "plain", is_flag=True, help="As JSON.")
+
+
+@click.group()
+def fleet():
+    """Controllers that know each other: members and the record."""
+
+
+def got(admin, path):
+    code, value = ask(admin, "GET", path)
+    if code != 200:
+        fail(f"{admin}: {code} {value.get('error', '') if isinstance(value, dict) else ''}")
+    return value
+
+
+def rows(lines):
+    widths = [max(len(str(line[n])) for line in lines) for n in range(len(lines[0]))]
+    for line in lines:
+        click.echo("  ".join(str(x).ljust(w) for x, w in zip(line, widths, strict=True)).rstrip())
+
+
+def shown_members(value):
+    click.echo(f"{value['name']} of {value['fleet']}, local health {value['health']}; dropped "
+               + (", ".join(f"{k}: {v}" for k, v in sorted(value["dropped"].items())) or "nothing"))
+    table = [("member", "standing", "for s", "run", "incarnation")]
+    for name, m in sorted(value["members"].items()):
+        since = "" if m["for_s"] is None else m["for_s"]
+        table.append((name, m["standing"], since, m["run"], m["incarnation"]))
+    rows(table)
+
+
+def shown_record(value):
+    click.echo(f"{value['name']}: {value['role']}, epoch {value['epoch'][0]} ({value['epoch'][1]}), "
+               f"{value['agreed']} agreed, known to be all {_ago(value['age_s'])}"
+               + (f", CUT OFF for {value['cut_off_s']} s" if value["cut_off_s"] else ""))
+    if "term" in value:
+        doubts = ", neither votes nor confirms yet" if value["doubts"] else ""
+        click.echo(f"voter {value['identity']}: term {value['term']}, leader "
+                   f"{value['leader'] or 'not known'}, log up to {value['log']}{doubts}")
+    far = value.get("followers", {})
+    voters = sorted(value["voters"].items())
+    rows([("voter", "identity", "confirmed")] + [(n, i, far.get(n, "")) for n, i in voters])
+    for key, item in sorted(value["map"].items()):
+        click.echo(f"{key} = {json.dumps(item)}")
+
+
+def _ago(age):
+    return "never" if age is None else f"{age} s ago"
+
+
+@fleet.command()
+@address
+@AS_JSON
+def members(admin, plain):
+    """Who sees whom in what state, since when."""
+    value = got(admin, "/fleet/members")
+    shown(200, value) if plain else shown_members(value)
+
+
+@fleet.command("record")
+@address
+@AS_JSON
+def record_(admin, plain):
+    """What is agreed as that controller knows it, how old that is, who leads, how far each voter is."""
+    value = got(admin, "/fleet/record")
+    shown(200, value) if plain else shown_record(value)
+
+
+@fleet.command()
+@address
+@click.option("--every", type=click.FloatRange(0.1, 3600), default=1.0, show_default=True, help="s")
+@click.option("--times", type=click.IntRange(1), help="End after so many looks.")
+@AS_JSON
+def watch(admin, every, times, plain):
+    """Members and record, again and again."""
+    n = 0
+    while times is None or n < times:
+        if n:
+            time.sleep(every)
+        n += 1
+        here, agreed = got(admin, "/fleet/members"), got(admin, "/fleet/record")
+        if plain:
+            click.echo(json.dumps({"members": here, "record": agreed}))
+            continue
+        click.clear()
+        shown_members(here)
+        click.echo("")
+        shown_record(agreed)
+
+
+@fleet.command()
+@address
+@click.option("--id", "name", help="Sent again under the same id it counts once; made up if not given.")
+@click.option("--wait", type=click.FloatRange(0, 30), default=5.0, show_default=True, help="s")
+@click.argument("value")
+def propose(admin, name, wait, value):
+    """Propose VALUE, a JSON object of keys and their values (null takes a key out)."""
+    try:
+        what = json.loads(value)
+    except ValueError as wrong:
+        raise click.UsageError(f"VALUE is not JSON: {wrong}") from None
+    name = name or f"cli-{time.time_ns():x}"
+    shown(*ask(admin, "POST", "/fleet/propose", {"id": name, "value": what, "wait": wait}))
+
+
+def kept(folder):
+    """The state in a voter's folder as far as it is known to be agreed, and what lies beyond."""
+    found, durable = look(Files(folder)), Durable()
+    if found.damage:
+        fail(f"{folder}: damaged: {found.damage[0]}")
+    if found.snapshot:
+        for _, chunk in found.snapshot.frames[1:-1]:
+            if chunk["stream"] == STREAM:
+                durable.restore(chunk["items"])
+    for _, stream, one in found.records:
+        if stream == STREAM:
+            durable.replay(one)
+    return durable
+
+
+@fleet.command("restart-record")
+@address
+@click.option("--from", "folder", type=click.Path(exists=True, file_okay=False), help="A voter's folder.")
+@click.option("--empty", is_flag=True, help="With nothing agreed: the first beginning, or all is given up.")
+@click.option("--yes", is_flag=True, help="Do not ask.")
+def restart_record(admin, folder, empty, yes):
+    """Begin the record anew, in a new epoch, at the voter whose --admin this is; the other voters are let
+    in by it.
+
+    For the first start of a fleet, and when no majority of voters can come back with what it kept."""
+    if bool(folder) == empty:
+        raise click.UsageError("one of --from FOLDER and --empty is wanted")
+    now, state = got(admin, "/fleet/record"), None
+    if folder:
+        from terndrift.fleet.agreed import applied, copied
+
+        durable = kept(folder)
+        state = copied(durable.base)
+        for n, entry in enumerate(durable.entries, durable.base["last"] + 1):
+            applied(state, n, entry)
+        click.echo(f"{os.path.basename(folder)}: epoch {durable.epoch[0]}, {state['last']} entries; the last "
+                   f"{len(durable.entries)} may never have been agreed, and count from now on", err=True)
+    if now["epoch"][0] or now["agreed"]:
+        gone = sorted(set(now["ids"]) - set((state or {}).get("ids", ())))
+        named = f" ({', '.join(gone[:5])} ...)" if gone else ""
+        click.echo(f"given up: epoch {now['epoch'][0]} with {now['agreed']} agreed, of which {len(gone)} "
+                   f"proposals are not in the new one{named}", err=True)
+    if not yes:
+        click.confirm("Begin the record anew?", abort=True)
+    said = state and {"map": state["map"], "ids": state["ids"]}
+    shown(*ask(admin, "POST", "/fleet/restart", {"state": said}))
--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -8,6 +8,7 @@
 
 from terndrift import deployment, logs, records, service
 from terndrift.cli import stored
+from terndrift.cli.fleet import fleet
 from terndrift.cli.sip import call, sip
 from terndrift.cli.xds import xds
 from terndrift.hints import cmcd, cmsd
@@ -230,6 +231,7 @@
 cli.add_command(stored.store)
 cli.add_command(xds)
 cli.add_command(sip)
+cli.add_command(fleet)
 cli.add_command(call)
 
 
--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -43,7 +43,7 @@
 ROUTES = {  # of one run; a new run begins anew
     Standing.ALIVE: (Standing.SUSPECT, Standing.DEAD, Standing.LEFT),
     Standing.SUSPECT: (Standing.ALIVE, Standing.DEAD, Standing.LEFT),
-    Standing.DEAD: (Standing.ALIVE, Standing.LEFT),
+    Standing.DEAD: (Standing.ALIVE, Standing.SUSPECT, Standing.LEFT),  # of a later incarnation
     Standing.LEFT: (),
 }
 
--- a/terndrift/fleet/record.py
+++ b/terndrift/fleet/record.py
@@ -83,8 +83,10 @@
         elif what == "term":
             self.term, self.voted = record["term"], record["voted"]
         elif what == "log":
-            del self.entries[record["after"] - self.base["last"]:]
-            self.entries += [Entry(*e) for e in record["entries"]]
+            # a snapshot may have been taken once the base was beyond it: what it covers is left out
+            n = record["after"] - self.base["last"]
+            del self.entries[max(0, n):]
+            self.entries += [Entry(*e) for e in record["entries"][max(0, -n):]]
             self.seen.update(record["seen"])
         elif what == "base":
             keep = self.last - record["state"]["last"] if record["keep"] else 0
--- /dev/null
+++ b/terndrift/fleet/service.py
@@ -0,0 +1,280 @@
+"""A fleet's controller on an event loop: datagrams, bodies over HTTP, its store, a timer. Decides nothing."""
+
+import asyncio
+import os
+import secrets
+import time
+from collections import Counter
+
+import msgspec
+
+from terndrift.deployment import Amiss
+from terndrift.fleet.agreed import beginning
+from terndrift.fleet.member import Controller
+from terndrift.fleet.messages import BODY, DATAGRAM, opened
+from terndrift.fleet.record import Durable
+from terndrift.http.client import Broken, Pool, Unreached, fetch
+from terndrift.http.server import Server
+from terndrift.store.commit import Committer
+from terndrift.store.files import Files
+from terndrift.store.store import Broken as StoreBroken
+from terndrift.store.store import Damaged, Store
+
+SECOND = 1_000_000_000
+STREAM = "fleet"
+# Bodies on their way to others at once; one more is dropped, as all that matters is said again. Guards the
+# loop against a member that takes nothing.
+MOST_BODIES = 32
+# Records after which the store's state takes their place: a start then reads as many at most.
+SNAPSHOT_AFTER = 4000
+LONGEST_WAIT = 30.0  # s for which a proposal's answer may be awaited in one request
+PATH = "/fleet/message"
+
+
+def settled(value):
+    """Raises Amiss if the `fleet` of a front file does not fit together."""
+    fleet, me = value["fleet"], value["controller"]["name"]
+    if not fleet["name"]:
+        return
+    out, names = [], {me, *fleet["members"]}
+    if me in fleet["members"]:
+        out.append(f"fleet.members.{me}: this controller itself; only the others are named")
+    out += [f"fleet.voters: no member '{v}'" for v in fleet["voters"] if v not in names]
+    if len(fleet["voters"]) not in (0, 3, 5) or len(set(fleet["voters"])) != len(fleet["voters"]):
+        out.append(f"fleet.voters: {len(fleet['voters'])} names, wanted 3 or 5 different ones, or none")
+    if me in fleet["voters"] and not fleet["store"]:
+        out.append("fleet.store: a voter keeps the record, and needs a folder")
+    if out:
+        raise Amiss("\n".join(out))
+
+
+class Fleet:
+    """`value`: the `fleet` of a front file. Raises Held where its folder is in use."""
+
+    def __init__(self, value, me, clock, seed, log):
+        self.value, self.me, self.clock, self.log = value, me, clock, log
+        self.dropped, self.bodies, self.pool = Counter(), set(), Pool(2)
+        self.committer, durable = None, None
+        if me in value["voters"]:
+            durable = self._opened(value["store"])
+        known = {me, *value["members"]}
+        run = time.time_ns() // 1_000_000
+        self.controller = Controller(value["name"], me, known, value["voters"], durable, run, clock.now(),
+                                     lambda: secrets.token_hex(8), seed)
+        self.server = Server(self._body, 256, body_size=BODY, fault=self._fault)
+        self.transport, self.addresses, self.timer, self.timer_at = None, [], None, None
+        self.writing, self.waiting, self.closing, self.said_cut = None, set(), False, False
+
+    def _opened(self, folder):
+        """What the voter kept. A damaged folder is put aside: what it once said can't be known any more, so
+        it begins as one that has nothing."""
+        durable = Durable()
+        try:
+            store = Store(Files(folder), {STREAM: durable})
+        except Damaged as wrong:
+            aside = f"{folder}.damaged-{time.time_ns():x}"
+            os.rename(folder, aside)
+            self.log.error("fleet: store damaged, put aside; a new identity is asked for", what=str(wrong),
+                           folder=aside)
+            durable = Durable()
+            store = Store(Files(folder), {STREAM: durable})
+        self.committer = Committer(store)
+        return durable
+
+    def _fault(self, exchange, error):
+        self.log.error("fault of the fleet", path=exchange.path, exc_info=error)
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        host, _, port = self.value["datagrams"].rpartition(":")
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: Datagrams(self), (host, int(port)))
+        self.addresses = ["%s:%d" % self.transport.get_extra_info("sockname")[:2],
+                          self.server.listen_on(self.value["http"])]
+        self._after()
+
+    # What comes in.
+
+    def packet(self, data):
+        found = opened(data, self.value["name"], self.me, self.controller.known)
+        if isinstance(found, str):
+            self.dropped[found] += 1
+            return
+        self.controller.received(self.clock.now(), found)
+        self._after()
+
+    async def _body(self, exchange):
+        if exchange.method != "POST" or exchange.path != PATH:
+            return await exchange.reply(404, text="nothing here")
+        self.packet(bytes(exchange.body))
+        return await exchange.reply(204)
+
+    def _ring(self):
+        self.timer = self.timer_at = None
+        self.controller.tick(self.clock.now())
+        self._after()
+
+    # What goes out.
+
+    def _after(self):
+        c, now = self.controller, self.clock.now()
+        said, c.out = c.out, []
+        for to, data in said:
+            self._send(to, data)
+        if c.writes and self.writing is None and not self.closing:
+            self.writing = asyncio.ensure_future(self._write())
+        for _, name, before, after in c.members.changes:
+            self.log.info("member", name=name, was=before.name.lower(), now=after.name.lower())
+        c.members.changes.clear()
+        for index, entry in c.follower.heard:
+            self.log.debug("agreed", index=index, kind=entry.kind, id=entry.id)
+        c.follower.heard.clear()
+        if (cut := c.cut_off(now) > 0) != self.said_cut:
+            self.said_cut = cut
+            self.log.warning("cut off from the record" if cut else "the record is heard again")
+        for waiter in self.waiting:
+            waiter.set()
+        at = c.next_at()
+        if self.transport is None or self.closing or self.timer_at is not None and self.timer_at <= at:
+            return
+        if self.timer:
+            self.timer.cancel()
+        self.timer_at = at
+        self.timer = asyncio.get_running_loop().call_later(max(0, at - now) / SECOND, self._ring)
+
+    def _send(self, to, data):
+        row = self.value["members"].get(to)
+        if row is None or self.transport is None:
+            return
+        if len(data) <= DATAGRAM:
+            host, _, port = row["datagrams"].rpartition(":")
+            self.transport.sendto(data, (host, int(port)))
+        elif len(self.bodies) < MOST_BODIES:
+            task = asyncio.ensure_future(self._post(row["http"], data))
+            self.bodies.add(task)
+            task.add_done_callback(self.bodies.discard)
+        else:
+            self.dropped["not sent"] += 1
+
+    async def _post(self, address, data):
+        try:
+            await fetch(self.pool, address, "POST", PATH, {"Content-Length": str(len(data))}, within=2.0,
+                        body=data)
+        except (Unreached, Broken):
+            self.dropped["not sent"] += 1
+
+    async def _write(self):
+        """Batch by batch, in order: what is said after a record goes out once that is durable."""
+        c = self.controller
+        while c.writes:
+            batch, c.writes, wrote = c.writes, [], c.wrote
+            while True:
+                try:
+                    await self.committer.append([(STREAM, record) for record in batch])
+                    break
+                except StoreBroken as wrong:
+                    # nothing is confirmed any more: what it holds is in doubt until the process starts again
+                    self.log.error("fleet: store broken; this voter says nothing more", what=str(wrong))
+                    return
+                except OSError as wrong:
+                    self.log.error("fleet: not kept, tried again", what=str(wrong))
+                    await asyncio.sleep(0.5)
+            c.kept(self.clock.now(), wrote)
+            if self.committer.store.since_snapshot > SNAPSHOT_AFTER:
+                async for _ in self.committer.snapshot():
+                    pass
+            self._after()
+        self.writing = None
+
+    def leave(self):
+        self.controller.leave(self.clock.now())
+        self._after()
+
+    async def stop(self):
+        for _ in range(50):  # what was said as it left is on its way
+            if not self.bodies and not self.writing:
+                break
+            await asyncio.sleep(0.02)
+        self.closing = True
+        if self.timer:
+            self.timer.cancel()
+        if self.writing:
+            self.writing.cancel()
+        await self.server.drain(0.5)
+        if self.transport:
+            self.transport.close()
+        self.pool.close()
+        if self.committer:
+            self.committer.close()
+
+    # What operators see and do.
+
+    def members(self):
+        now = self.clock.now()
+        return {"name": self.me, "fleet": self.value["name"], "members": self.controller.members.view(now),
+                "health": self.controller.members.health, "dropped": dict(self.dropped)}
+
+    def record(self):
+        now = self.clock.now()
+        state = self.controller.follower.state
+        return {**self.controller.report(now), "map": state["map"], "ids": state["ids"]}
+
+    async def propose(self, value):
+        """(code, answer): 200 with its number once it is seen agreed here; 504 if that is not known yet."""
+        id, what, wait = value.get("id"), value.get("value"), value.get("wait", 5.0)
+        if not isinstance(id, str) or not 0 < len(id) <= 128:
+            return 422, {"error": "id: a text of 1 to 128 characters is wanted"}
+        if not isinstance(what, dict) or not what or len(msgspec.msgpack.encode(what)) > BODY // 8:
+            return 422, {"error": "value: an object of key and value is wanted, half a MiB at most"}
+        if not isinstance(wait, int | float) or not 0 <= wait <= LONGEST_WAIT:
+            return 422, {"error": f"wait: 0 to {LONGEST_WAIT:.0f} s is wanted"}
+        ids = self.controller.follower.state["ids"]
+        if id not in ids:
+            if not self.controller.propose(self.clock.now(), id, what):
+                return 429, {"error": "too many proposals wait to be agreed"}
+            self._after()
+            await self._until(lambda: id in self.controller.follower.state["ids"], wait)
+        index = self.controller.follower.state["ids"].get(id)
+        if index is None:
+            return 504, {"error": "not known to be agreed yet; send it again under the same id", "id": id}
+        return 200, {"id": id, "index": index, "epoch": list(self.controller.follower.epoch)}
+
+    async def restart(self, value):
+        if self.controller.voter is None:
+            voters = ", ".join(self.value["voters"])
+            return 422, {"error": f"{self.me} is no voter; the record begins anew at one of {voters}"}
+        state, given_up = value.get("state"), self.record()
+        if state is not None:
+            try:
+                state = {**beginning((0, "")), "map": dict(state["map"]), "ids": dict(state["ids"])}
+            except (TypeError, KeyError, ValueError):
+                return 422, {"error": "state: an object with map and ids is wanted"}
+        self.controller.restart(self.clock.now(), state)
+        self._after()
+        await self._until(lambda: self.controller.follower.last > 0, 5.0)
+        self.log.warning("fleet: the record begins anew on an operator's word", epoch=self.record()["epoch"])
+        return 200, {"epoch": self.record()["epoch"],
+                     "given_up": {"epoch": given_up["epoch"], "agreed": given_up["agreed"]}}
+
+    async def _until(self, true, seconds):
+        waiter, until = asyncio.Event(), time.monotonic() + seconds
+        self.waiting.add(waiter)
+        try:
+            while not true() and (left := until - time.monotonic()) > 0:
+                waiter.clear()
+                try:
+                    await asyncio.wait_for(waiter.wait(), left)
+                except TimeoutError:
+                    break
+        finally:
+            self.waiting.discard(waiter)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def datagram_received(self, data, addr):
+        self.fleet.packet(data)
+
+    def error_received(self, exc):
+        pass  # nobody at that port: members find out by themselves
--- a/terndrift/rehearse/draw.py
+++ b/terndrift/rehearse/draw.py
@@ -18,6 +18,7 @@
     kills: list = field(default_factory=list)  # (ns, controller's number, ns until it starts again)
     swaps: list = field(default_factory=list)  # (ns, title, ids of its holders; None: removed)
     churn: list = field(default_factory=list)  # (ns, kind, streamer id, what it is from then on)
+    between: list = field(default_factory=list)  # (ns, kind, numbers of controllers, ns, size): between them
     stream_faults: list = field(default_factory=list)  # (ns, kind)
     arrivals: list = field(default_factory=list)  # dicts of viewers, in order of time
 
@@ -45,6 +46,10 @@
             rates += [(at, day["viewers"]["rate"] * trouble["size"]), (at + lasts, day["viewers"]["rate"])]
         elif kind == "kill":
             out.kills += [(at, n, lasts) for n in _share(chance, range(controllers), trouble["share"])]
+        elif kind in ("cut", "lossy", "stop", "wipe", "rewind"):
+            among = range(day["members"]["voters"] if kind in ("wipe", "rewind") else controllers)
+            some = _share(chance, among, trouble["share"]) if kind != "lossy" else []
+            out.between.append((at, kind, some, lasts, trouble["size"]))
         elif kind == "uplink":
             weak = _share(chance, range(racks), trouble["share"])
             out.faults.append({**fault, "streamers": [], "racks": weak})
--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from terndrift import deployment, records
-from terndrift.audit import calls, figures, judge, placements, seconds, told_off
+from terndrift.audit import calls, figures, fleet, judge, placements, seconds, told_off
 from terndrift.http.client import Broken, Call, Pool, Unreached
+from terndrift.rehearse.between import Between
 from terndrift.rehearse.churn import Churn
 from terndrift.rehearse.draw import drawn
 from terndrift.standin.fleet import write_list
@@ -74,6 +75,9 @@
         self.processes, self.started, self.standing = {}, {}, {}
         self.lines, self.addresses, self.admins, self.sips = {}, [], {}, []
         self.churn = Churn(self) if self.drawn.churn else None
+        self.between = Between(self) if day["members"]["voters"] else None
+        if self.drawn.between and not self.between:
+            raise deployment.Amiss("members.voters: 0, where troubles are between controllers")
 
     def path(self, name):
         return os.path.join(self.folder, name)
@@ -122,7 +126,7 @@
     async def _start(self):
         d = self.day["deployment"]
         # room for the processes to come up; the day's own time starts then
-        self.begin = time.time() + 4.0 + 0.1 * self.controllers
+        self.begin = time.time() + 4.0 + 0.1 * self.controllers + (6.0 if self.between else 0.0)
         racks = sorted(self.drawn.uplinks)
         for rack in racks:
             mine = [s for s in self.drawn.streamers if s["rack"] == rack and s["kind"] != "room"]
@@ -152,10 +156,14 @@
             await self.churn.start()
         else:
             self._write_list()
+        if self.between:
+            await self.between.start()
         for n in range(self.controllers):
             await self._controller(n, "127.0.0.1:0", "127.0.0.1:0")
         for n in range(self.controllers):
             await self._up(n)
+        if self.between:
+            await self.between.settle()
 
     async def _rooms(self):
         """The media servers, a process of their own."""
@@ -185,6 +193,8 @@
         if self.day["calls"]["rooms"]:
             value["sip"] = {"listen": sip, "t1": ns(self.day["calls"]["t1"]),
                             "session": ns(self.day["calls"]["session"]), "least_session": ns(SECOND)}
+        if self.between:
+            value["fleet"] = self.between.front(n)
         if self.churn:
             value["xds"] = self.churn.sources(n)
         with open(self.path(f"c{n}.rec"), "w", encoding="utf-8") as file:
@@ -195,6 +205,9 @@
         await self._appears(f"c{n}", self.path(f"c{n}.ready"))
         with open(self.path(f"c{n}.ready"), encoding="utf-8") as file:
             address, self.admins[n], *sip = file.read().split()
+        if self.between:
+            *sip, datagrams, bodies = sip
+            self.between.network.at(f"c{n}", datagrams, bodies)
         self.sips[n:n + 1] = sip
         self.addresses[n:n + 1] = [address]
         self.ledger.note("controller up", name=f"c{n}", address=address)
@@ -210,9 +223,11 @@
         work = [asyncio.ensure_future(self._edits())]
         work += [asyncio.ensure_future(self._swaps(n)) for n in range(self.controllers)]
         work += [asyncio.ensure_future(self._kill(*kill)) for kill in self.drawn.kills]
-        work += [asyncio.ensure_future(w) for w in (self.churn.work() if self.churn else ())]
+        work += [asyncio.ensure_future(w) for part in (self.churn, self.between) if part for w in part.work()]
         await asyncio.wait_for(crowd.wait(), self.seconds + TAIL + 60)
         await asyncio.gather(*work)
+        if self.between:
+            await self.between.ends()
 
     async def _until(self, at):
         await asyncio.sleep(max(0.0, self.begin + at / SECOND - time.time()))
@@ -250,12 +265,13 @@
             self.ledger.note("swapped", controller=f"c{n}", number=number, code=code)
         pool.close()
 
-    async def _kill(self, at, n, lasts):
+    async def _kill(self, at, n, lasts, meanwhile=lambda: None):
         await self._until(at)
         process, address = self.processes[f"c{n}"], self.addresses[n]
         process.send_signal(signal.SIGKILL)
         self.ledger.note("controller down", name=f"c{n}", address=address)
         await process.wait()
+        meanwhile()
         await asyncio.sleep(lasts / SECOND)
         os.unlink(self.path(f"c{n}.ready"))
         await self._controller(n, address, self.sips[n] if self.sips else "")
@@ -267,6 +283,8 @@
                 process.send_signal(signal.SIGTERM)
         if self.churn:
             await self.churn.stop()
+        if self.between:
+            self.between.network.close()
         for process in self.processes.values():
             try:
                 await asyncio.wait_for(process.wait(), 15)
@@ -289,7 +307,8 @@
                 **figures.report(facts, [a for a in self.drawn.arrivals if not a["call"]]),
                 **seconds.report(facts, self.seconds), **placements.report(facts),
                 **(calls.report(facts, self.drawn.arrivals) if self.day["calls"]["rooms"] else {}),
-                **(told_off.report(facts) if self.churn else {}), **judge.report(facts)}
+                **(told_off.report(facts) if self.churn else {}),
+                **(fleet.report(facts, self.between.deaths()) if self.between else {}), **judge.report(facts)}
 
 
 async def _post(pool, address, path, value):
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -16,6 +16,7 @@
 from terndrift.core.core import Core
 from terndrift.core.host import Clock, Host
 from terndrift.decide import Controller
+from terndrift.fleet.service import Fleet, settled
 from terndrift.http.carrier import HttpCarrier
 from terndrift.http.client import Pool
 from terndrift.http.front import Front, Served
@@ -46,7 +47,9 @@
     for name, xds in value["xds"].items():
         check(f"xds.{name}", xds)
     beside = os.path.dirname(os.path.abspath(path))
+    settled(value)
     for part, keys in ((value, ("list", "ready")), (value["catalogue"], ("store", "file")),
+                       (value["fleet"], ("store",)),
                        *((xds, FILES) for xds in value["xds"].values())):
         for key in keys:
             if part[key]:
@@ -181,6 +184,9 @@
         self.sip_address = None
         self.address, self.admin_address, self.tasks, self.stopped = None, None, [], asyncio.Event()
         self.runner = Runner(value["background"], self.log)
+        self.fleet = None
+        if value["fleet"]["name"]:
+            self.fleet = Fleet(value["fleet"], self.core.name, self.clock, made.seed, self.log)
         self._open_catalogue(value["catalogue"])
 
     def _list_changed(self, entries, there, gone, forgotten, old):
@@ -215,7 +221,7 @@
                 self.log.warning("store: dropped", what=str(what))
         self.catalogue = Catalogue(versions, committer, self.runner, self._titles_changed, self.log)
         self.admin = Server(Admin(self.catalogue, lambda: self.titles.there, self.listing,
-                                        self._loads_heard).handle, 64, fault=self._fault,
+                                        self._loads_heard, self.fleet).handle, 64, fault=self._fault,
                             body_size=BODY)
         self.source = Source(value["file"], value["poll"] / SECOND, self.catalogue, self.log, time.time)
 
@@ -247,11 +253,14 @@
             self.sip_address = await self.sip.start()
         if self.serving:
             self.offer_address = await self.serving.start(self.value["offer"]["listen"])
+        if self.fleet:
+            await self.fleet.start()
         self.tasks.append(asyncio.ensure_future(self._seconds()))
         if self.value["ready"]:
             part = self.value["ready"] + ".part"
             with open(part, "w", encoding="utf-8") as file:
-                addresses = self.address, self.admin_address, self.sip_address
+                addresses = [self.address, self.admin_address, self.sip_address]
+                addresses += self.fleet.addresses if self.fleet else []
                 file.write("\n".join(filter(None, addresses)) + "\n")
             os.replace(part, self.value["ready"])
         self.log.info("listening", address=self.address, admin=self.admin_address, offer=self.offer_address,
@@ -271,6 +280,8 @@
         """Takes nothing new, lets what is awaited be answered and what plays play for the drain time."""
         self.log.info("draining", open=self.core.open, playbacks=len(self.core.held))
         self.front.draining = True
+        if self.fleet:
+            self.fleet.leave()
         if self.sip:
             self.sip.front.draining = True
         self.server.stop()
@@ -293,6 +304,8 @@
         self.carrier.close()
         self.pool.close()
         await self.admin.drain(1.0)
+        if self.fleet:
+            await self.fleet.stop()
         self.runner.close()
         await self.sources.close()
         if self.serving:
