--- a/terndrift/fleet/service.py
+++ b/terndrift/fleet/service.py
@@ -201,7 +201,8 @@
             self.writing.cancel()
         await self.server.drain(0.5)
         if self.transport:
-            self.transport.close()
+            self.transport.abort()
+            await asyncio.sleep(0)  # its socket is closed by then
         self.pool.close()
         if self.committer:
             self.committer.close()
