Halves that lost each other meet sooner: the disputed are told, doubts of oneself halve

What a member's whole exchanges cost no longer grows with the fleet. A rehearsed controller's fleet listens on any port after a restart: an old one was somebody else's once.

--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -29,7 +29,12 @@
 # lost each way, 93% hear of it and are heard.
 LAST_WORDS = 4
 SICKEST = 8  # local health stretches time-outs up to this many times over (Lifeguard's S)
-WHOLE = 20 * SECOND  # between whole exchanges of one member
+# Between whole exchanges of one member, for each that it knows: so what they cost it is the same in any
+# fleet (some 75 bytes a second), and over all members there are two or three a second, which is how soon
+# two halves meet again.
+WHOLE = SECOND * 2 // 5
+LEAST_WHOLE = 20 * SECOND
+YOUNG = 6  # exchanges at the start that are a second apart
 # A wake this late says that this process stood still, not the others.
 STOOD = PERIOD
 
@@ -74,6 +79,7 @@
     ask_at: int  # others are asked then
     fails_at: int
     asked: bool = False
+    again_at: int = 0  # the straight way is tried a last time
     helpers: int = 0
     nacks: int = 0
 
@@ -88,6 +94,7 @@
         self.out, self.changes = [], []  # to be sent; (time, name, standing before, after) for the log
         self.seq, self.probe, self.forwards = 0, None, {}  # forwards: own seq -> (who asked, its seq, until)
         self.order, self.health, self.own_told, self.leaving = [], 0, 0, False
+        self.young = YOUNG
         self.false_deaths = 0  # of this member, refuted: others held it for dead though it lives
         # by chance, so that many who start at once do not speak in step
         self.next_ping = now + int(PERIOD * self._chance())
@@ -134,6 +141,7 @@
                     self.probe.nacks += 1
             case Whole(news, answer):
                 self._hear(now, sender, news)
+                self._disputed(news)
                 if not answer:
                     self.out.append((sender, self.whole(True)))
         self._plan()
@@ -167,7 +175,9 @@
                 self._doubt(now, m)
         if now >= self.next_whole:
             alone = not self.alive()
-            self.next_whole = now + int((SECOND if alone else WHOLE) * (0.75 + 0.5 * self._chance()))
+            self.young -= not alone and self.young > 0
+            wait = SECOND if alone or self.young else max(LEAST_WHOLE, WHOLE * len(self.members))
+            self.next_whole = now + int(wait * (0.75 + 0.5 * self._chance()))
             # with the dead and the unheard too: they may be on the other side of a cut that has healed, and
             # who left may be back
             others = self._some(HELPERS if alone else 1, self.members)
@@ -204,7 +214,8 @@
     def _plan(self):
         times = [self.next_ping, self.next_whole] + [f[2] for f in self.forwards.values()]
         if self.probe:
-            times.append(self.probe.fails_at if self.probe.asked else self.probe.ask_at)
+            p = self.probe
+            times.append(p.ask_at if not p.asked else p.again_at or p.fails_at)
         times += [self._word_at(m) for m in self.members.values() if m.standing is Standing.SUSPECT]
         self.due = min(times)
 
@@ -227,13 +238,16 @@
     def _probing(self, now):
         p = self.probe
         if now >= p.ask_at and not p.asked:
-            p.asked = True
+            p.asked, p.again_at = True, (now + p.fails_at) // 2
             helpers = self._some(HELPERS, [n for n in self.alive() if n != p.target])
             p.helpers = len(helpers)
             for name in helpers:
                 self.out.append((name, AskFor(p.seq, p.target, self._news(name))))
             # once more by the straight way: where one datagram in three is lost, that is most of it
             self.out.append((p.target, Ping(p.seq, self._news(p.target))))
+        elif p.again_at and now >= p.again_at:
+            p.again_at = 0
+            self.out.append((p.target, Ping(p.seq, self._news(p.target))))
         if now >= p.fails_at:
             self.probe = None
             # helpers that say nothing at all point at this member's own link or loop
@@ -269,7 +283,7 @@
         p = self.probe
         if p and p.seq == seq:
             self.probe = None
-            self.health = max(0, self.health - 1)
+            self.health //= 2  # one by one it would ping seldom for most of a minute after a cut
 
     def _patience(self, m):
         """ns for which a suspicion stands: long while one member says so, short once several do."""
@@ -306,6 +320,18 @@
             # it speaks, and nothing was heard of it: it will say so itself, and is asked
             self.out.append((sender, self.whole()))
 
+    def _disputed(self, news):
+        """Whom the other side of an exchange sees alive, and this one does not, is told so straight: after
+        a cut each has to refute by itself what the other half says of it."""
+        told = 0
+        for one in news:
+            m = self.members.get(one.name)
+            if m and one.state == Standing.ALIVE and m.standing in (Standing.SUSPECT, Standing.DEAD) \
+                    and (one.run, one.incarnation) == (m.run, m.incarnation) and told < MOST_NEWS:
+                told += 1
+                self.seq += 1
+                self.out.append((m.name, Ping(self.seq, self._news(m.name))))
+
     def _of_me(self, one):
         if one.run > self.run:  # an earlier start of this name with a clock ahead of ours
             self.run, self.incarnation, self.own_told = one.run + 1, 0, 0
--- a/terndrift/rehearse/between.py
+++ b/terndrift/rehearse/between.py
@@ -38,12 +38,9 @@
         await self.network.start()
 
     def front(self, n):
-        """The `fleet` of the n-th controller's front file; where it listened before it listens again."""
-        def listens(table):
-            return "%s:%d" % table.get(f"c{n}", ("127.0.0.1", 0))
-
-        return {"name": "rehearsed", "datagrams": listens(self.network.datagrams),
-                "http": listens(self.network.bodies), "voters": self.voters,
+        """The `fleet` of the n-th controller's front file. The others reach it by the network's addresses, so
+        that it may listen elsewhere after a restart: its old port may be somebody's by then."""
+        return {"name": "rehearsed", "datagrams": "127.0.0.1:0", "http": "127.0.0.1:0", "voters": self.voters,
                 "store": f"c{n}.record" if f"c{n}" in self.voters else "",
                 "members": self.network.members(f"c{n}")}
 
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -39,12 +39,9 @@
         self.folder, self.network, self.fleets = folder, Network(NAMES), {}
 
     def value(self, name):
-        def listens(table):
-            return "%s:%d" % table.get(name, ("127.0.0.1", 0))
-
         voter = name in NAMES[:3]
-        return {"name": "town", "datagrams": listens(self.network.datagrams), "voters": NAMES[:3],
-                "http": listens(self.network.bodies), "members": self.network.members(name),
+        return {"name": "town", "datagrams": "127.0.0.1:0", "voters": NAMES[:3], "http": "127.0.0.1:0",
+                "members": self.network.members(name),
                 "store": os.path.join(self.folder, name) if voter else ""}
 
     async def start(self, *names):
