--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -314,6 +314,10 @@
         for one in news:
             if one.name == self.me:
                 self._of_me(one)
+                if one.state != Standing.ALIVE and not self.leaving:
+                    # said back at once: whoever missed the refutation might hear of it only much later
+                    self.seq += 1
+                    self.out.append((sender, Ping(self.seq, [self._own()])))
             elif one.name in self.members and 0 <= one.state <= 3 and one.run > 0 and one.incarnation >= 0:
                 self._of(now, sender, one)
         if m and not m.run:
