--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -327,14 +327,13 @@
     def _disputed(self, news):
         """Whom the other side of an exchange sees alive, and this one does not, is told so straight: after
         a cut each has to refute by itself what the other half says of it."""
-        told = 0
-        for one in news:
-            m = self.members.get(one.name)
-            if m and one.state == Standing.ALIVE and m.standing in (Standing.SUSPECT, Standing.DEAD) \
-                    and (one.run, one.incarnation) == (m.run, m.incarnation) and told < MOST_NEWS:
-                told += 1
-                self.seq += 1
-                self.out.append((m.name, Ping(self.seq, self._news(m.name))))
+        doubts = Standing.SUSPECT, Standing.DEAD
+        doubted = {m.name: m for m in self.members.values() if m.standing in doubts}
+        there = [n.name for n in news if n.state == Standing.ALIVE and (m := doubted.get(n.name))
+                 and (n.run, n.incarnation) == (m.run, m.incarnation)]
+        for name in self._some(MOST_NEWS, there):
+            self.seq += 1
+            self.out.append((name, Ping(self.seq, self._news(name))))
 
     def _of_me(self, one):
         if one.run > self.run:  # an earlier start of this name with a clock ahead of ours
