--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -19,8 +19,9 @@
 PERIOD = SECOND  # between pings; SWIM's protocol period
 ANSWER = PERIOD // 4  # a direct answer is awaited so long, then others are asked; many times a round trip
 HELPERS = 3  # others that are asked to ping; SWIM's k
-# Of the news in one message: 40 bytes each at most, so that they and a ping fit a datagram.
-MOST_NEWS = 20
+# Bytes of news in one message, each its name and NEWS more: with what else stands there it fits a datagram.
+ROOM, NEWS = 1000, 18
+MOST_TOLD = 20  # members told at once, of one whole exchange, that they are doubted here
 SPREAD = 4  # news is told SPREAD * log10(members + 2) times, rounded up: SWIM's lambda log n, with room
 # A suspicion stands at least ALPHA * log10(members) periods, and BETA times that while only one member says
 # so (Lifeguard's defaults: 5 and 6).
@@ -304,7 +305,10 @@
             self.own_told += 1
             out.append(self._own())
         fresh = [x for x in self.members.values() if x.run and x.told < often and x is not m]
-        for x in sorted(fresh, key=lambda x: (x.told, x.name))[:MOST_NEWS - len(out)]:
+        room = ROOM - sum(len(n.name) + NEWS for n in out)
+        for x in sorted(fresh, key=lambda x: (x.told, x.name)):
+            if (room := room - len(x.name) - NEWS) < 0:
+                break
             x.told += 1
             out.append(x.news())
         return out
@@ -331,7 +335,7 @@
         doubted = {m.name: m for m in self.members.values() if m.standing in doubts}
         there = [n.name for n in news if n.state == Standing.ALIVE and (m := doubted.get(n.name))
                  and (n.run, n.incarnation) == (m.run, m.incarnation)]
-        for name in self._some(MOST_NEWS, there):
+        for name in self._some(MOST_TOLD, there):
             self.seq += 1
             self.out.append((name, Ping(self.seq, self._news(name))))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,18 @@
 from terndrift.fleet import record
 from terndrift.fleet.arena import Arena
 from terndrift.fleet.members import Members, Standing
-from terndrift.fleet.messages import Append, Entry, News, Ping, Propose, Sealed, opened, sealed
+from terndrift.fleet.messages import (
+    DATAGRAM,
+    Append,
+    Entry,
+    News,
+    Ping,
+    Propose,
+    Sealed,
+    Whole,
+    opened,
+    sealed,
+)
 from terndrift.fleet.worlds import Budget, Checker, small
 
 NAMES = [f"c{n}" for n in range(9)]
@@ -339,3 +350,15 @@
     found = Checker(start, "wiped votes", 40_000).run()
     assert found is not None and any("starts with nothing" in step for step in found[0])
 
+
+
+def test_the_longest_names_and_most_news_still_fit_a_datagram():
+    names = [f"{n:040d}" for n in range(120)]
+    one = Members(names[0], names, 1 << 42, 0)
+    one.received(0, names[1], Whole([News(n, 1 << 42, 1000, 1) for n in names[1:]], True))
+    one.out.clear()
+    for _ in range(9):
+        one.tick(one.next_at())
+    pings = [m for _, m in one.out if isinstance(m, Ping)]
+    sizes = [len(sealed("f" * 40, names[0], names[1], m, 9, 1 << 40, 1 << 20)) for m in pings]
+    assert pings and len(pings[0].news) > 15 and max(sizes) <= DATAGRAM
