--- a/terndrift/audit/fleet.py
+++ b/terndrift/audit/fleet.py
@@ -35,6 +35,34 @@
         "without_leader_s": without_leader(facts)}}
 
 
+def worked(facts):
+    """Of planned work: machines `done` of those planned; `touched_while_held`: set-ups, or media asked for,
+    at one that a permit had let go of; `over_budget_s`: with more permits out than the plan allows;
+    `stuck`, by state."""
+    planned = next((n for n in facts.runner if n["what"] == "work"), None)
+    if planned is None:
+        return {}
+    out, held, over = {}, 0, 0
+    for n in sorted(facts.runner, key=lambda n: n["t"]):
+        if n["what"] == "permit":
+            out[n["streamer"]] = [n["t"], 0]
+        elif n["what"] == "handed back" and not out[n["streamer"]][1]:
+            out[n["streamer"]][1] = n["t"]
+    for n in facts.streamers:
+        span = out.get(n.get("streamer"))
+        held += n["what"] in ("try", "media") and span is not None and span[0] < n["t"] < (span[1] or 10**18)
+    steps = sorted([(a, 1) for a, _ in out.values()] + [(b, -1) for _, b in out.values() if b])
+    now, since = 0, 0
+    for at, step in steps:
+        over += (at - since) if now > planned["most"] else 0
+        now, since = now + step, at
+    states = next((n["states"] for n in facts.runner if n["what"] == "work ends"), {})
+    done = sum(state == "done" for state in states.values())
+    return {"work": {"planned": len(planned["machines"]), "done": done, "touched_while_held": held,
+                     "over_budget_s": round(over / SECOND, 2),
+                     "stuck": {m: s for m, s in states.items() if s not in ("done", "given back")}}}
+
+
 def disturbances(facts):
     """[(from, until, names or None for all)]: cuts, loss, stops and controllers that were down."""
     out = [(n["t"], n["t"] + n["lasts"], set(n["names"]) or None)
--- a/terndrift/catalogue/admin.py
+++ b/terndrift/catalogue/admin.py
@@ -10,7 +10,7 @@
     GET  /catalogue/diff?from=3&to=5
     GET  /listing                       the list in force, its sources, alarms and limits; loads heard
     POST /listing/confirm               {source, addresses}: what it dropped in panic is gone; null: all
-    GET  /fleet/members, /fleet/record  who is there, as seen here; what is agreed
+    GET  /fleet/members, /fleet/record, /fleet/work   who is there, as seen here; what is agreed; planned work
     POST /fleet/propose                 {id, value, wait}: an entry of the record
     POST /fleet/restart                 {state}: the record begins anew, with that state or (null) empty
 """
@@ -129,7 +129,7 @@
         return await exchange.reply(200, data={"gone": self.listing.confirm(named, addresses)})
 
     async def _fleet(self, exchange, what):
-        if what in ("members", "record"):
+        if what in ("members", "record", "work"):
             self._only(exchange, "GET")
             return await exchange.reply(200, data=getattr(self.fleet, what)())
         if what not in ("propose", "restart"):
--- a/terndrift/cli/main.py
+++ b/terndrift/cli/main.py
@@ -10,6 +10,7 @@
 from terndrift.cli import stored
 from terndrift.cli.fleet import fleet
 from terndrift.cli.sip import call, sip
+from terndrift.cli.work import work
 from terndrift.cli.xds import xds
 from terndrift.hints import cmcd, cmsd
 from terndrift.listing.lines import Unusable
@@ -36,12 +37,12 @@
     """A session front that places and shapes video playbacks on streaming servers with shared links."""
 
 
-KINDS = click.Choice(["front", "fleet", "list", "day"])
+KINDS = click.Choice(["front", "fleet", "list", "day", "work"])
 
 
 def _kind(value_of):
     """What kind of record a file is, told by the fields that only one kind has."""
-    for kind, mark in (("front", "controller"), ("fleet", "uplinks"), ("day", "troubles")):
+    for kind, mark in (("front", "controller"), ("fleet", "uplinks"), ("day", "troubles"), ("work", "needs")):
         if mark in value_of:
             return kind
     return "list"
@@ -232,6 +233,7 @@
 cli.add_command(xds)
 cli.add_command(sip)
 cli.add_command(fleet)
+cli.add_command(work)
 cli.add_command(call)
 
 
--- a/terndrift/fleet/agreed.py
+++ b/terndrift/fleet/agreed.py
@@ -15,7 +15,8 @@
 
 
 def applied(state, index, entry):
-    """Changes `state` by the next entry. A value is {key: value}; None takes a key out."""
+    """Changes `state` by the next entry. A value is {key: value}; None takes a key out. Under "?" it may say
+    keys have to be for it to count: who proposes by an older state than the one in force changes nothing."""
     assert index == state["last"] + 1, f"entry {index} after {state['last']}"
     state["last"], state["term"] = index, entry.term
     if entry.kind == "voters":
@@ -24,7 +25,11 @@
         state["ids"][entry.id] = index
         while len(state["ids"]) > IDS:
             del state["ids"][next(iter(state["ids"]))]
+        if any(state["map"].get(key) != value for key, value in entry.value.get("?", {}).items()):
+            return
         for key, value in entry.value.items():
+            if key == "?":
+                continue
             if value is None:
                 state["map"].pop(key, None)
             else:
--- a/terndrift/fleet/member.py
+++ b/terndrift/fleet/member.py
@@ -5,16 +5,17 @@
 be made durable: what a voter says after them is held until the host tells by `kept` that they are.
 """
 
-from terndrift.fleet import messages
+from terndrift.fleet import messages, work
 from terndrift.fleet.agreed import Follower
 from terndrift.fleet.members import Members
-from terndrift.fleet.messages import Agreed, Propose, Pull
+from terndrift.fleet.messages import Agreed, Holds, Propose, Pull
 from terndrift.fleet.record import Role, Voter
 
 MS = 1_000_000
 SECOND = 1000 * MS
 AGAIN = SECOND  # a proposal not seen agreed is sent again, through another member, this often
 MOST_HOPS = 3
+WORK = SECOND // 2  # between looks at planned work, and words on what is held
 MOST_PROPOSALS = 256  # of one controller not yet seen agreed
 
 
@@ -32,10 +33,14 @@
         self.out, self.writes, self.wrote, self.held = [], [], 0, []  # held: (wrote, to, bytes)
         self.proposals = {}  # id -> [value, when to send it again, how often it was]
         self.started = now
+        # Work on machines. The host says what its list has, and how much it has on machines told off.
+        self.work, self.work_at, self.holds = work.Work(), now, {}
+        self.machines, self.holding = dict, lambda names: dict.fromkeys(names, 0)
         self._after(now)
 
     def next_at(self):
         times = [self.members.next_at()] + [p[1] for p in self.proposals.values()]
+        times += [self.work_at] if work.REV in self.follower.state["map"] else []
         return min(times + [self.voter.next_at()] if self.voter else times)
 
     def received(self, now, sealed):
@@ -50,6 +55,8 @@
             self.follower.answered(now, sender, m)
         elif isinstance(m, Propose):
             self._proposed(now, m)
+        elif isinstance(m, Holds):
+            self.holds[sender] = m.rev, m.counts, now
         else:
             self.members.received(now, sender, m)
         self._after(now)
@@ -59,6 +66,8 @@
             self.members.tick(now)
         if self.voter and self.voter.next_at() <= now:
             self.voter.tick(now)
+        if now >= self.work_at and work.REV in self.follower.state["map"]:
+            self._work(now)
         for id, p in list(self.proposals.items()):
             if id in self.follower.state["ids"]:
                 del self.proposals[id]
@@ -94,6 +103,24 @@
         self.voter.restart(now, state)
         self._after(now)
 
+    def off(self, now):
+        """(machines told off by agreed work, whether this controller may place on the others)."""
+        state = self.follower.state
+        return work.told_off(state), work.may_place(self.follower.age(now))
+
+    def _work(self, now):
+        """Tells the voters what it holds on machines told off; as the leader, takes the next step."""
+        self.work_at = now + WORK
+        state = self.follower.state
+        if off := work.told_off(state):
+            said = Holds(work.rev(state), self.holding(off))
+            self.holds[self.me] = said.rev, said.counts, now
+            self._say(now, [(v, said) for v in self.voters if v != self.me])
+        if self.voter and self.voter.role is Role.LEADER:
+            seen = work.Seen(self.machines(), frozenset(self.known), self.holds)
+            for id, value in self.work.steps(now, state, seen):
+                self.voter.propose(now, id, value)
+
     def leader(self):
         """By what this controller knows; None: nobody, or it can't tell."""
         return self.voter.leader if self.voter else None
--- a/terndrift/fleet/messages.py
+++ b/terndrift/fleet/messages.py
@@ -142,6 +142,14 @@
     hops: int = 0
 
 
+class Holds(Message):
+    """To the voters while machines are emptied: by which work (`rev`) this controller goes, and how many
+    playbacks and set-ups it has on each machine that it has told off."""
+
+    rev: int
+    counts: dict[str, int]
+
+
 class Pull(Message):
     """From a follower: what is agreed after `last` of that epoch?"""
 
@@ -165,7 +173,7 @@
     sender: str
     to: str
     message: (Ping | Ack | AskFor | Nack | Whole | AskVote | Vote | Append | Kept | Base | Lead | Hello | Seen
-              | LetIn | Propose | Pull | Agreed)
+              | LetIn | Propose | Holds | Pull | Agreed)
     epoch: int = 0
     agreed: int = 0  # how much of the record the sender has: who has less asks it for the rest
     age: int = -1  # ms since it knew that to be all; -1: it never did
--- a/terndrift/fleet/service.py
+++ b/terndrift/fleet/service.py
@@ -54,6 +54,7 @@
     def __init__(self, value, me, clock, seed, log):
         self.value, self.me, self.clock, self.log = value, me, clock, log
         self.dropped, self.bodies, self.pool = Counter(), set(), Pool(2)
+        self.site = None  # where this controller obeys planned work
         self.committer, durable = None, None
         if me in value["voters"]:
             durable = self._opened(value["store"])
@@ -219,6 +220,16 @@
         state = self.controller.follower.state
         return {**self.controller.report(now), "map": state["map"], "ids": state["ids"]}
 
+    def work(self):
+        """Planned work: its entries, machines as this controller's list has them, what they wait for."""
+        c = self.controller
+        machines = {n: {"rack": m.rack, "zone": m.zone, "weight": m.weight, "ready": m.ready,
+                        "started": self.clock.wall_ns(m.started), "titles": sorted(m.titles)}
+                    for n, m in c.machines().items()}
+        return {"map": {k: v for k, v in c.follower.state["map"].items() if k.startswith("work/")},
+                "machines": machines, "why": c.work.why, "leader": c.leader(),
+                "leads": c.leader() == self.me}
+
     async def propose(self, value):
         """(code, answer): 200 with its number once it is seen agreed here; 504 if that is not known yet."""
         id, what, wait = value.get("id"), value.get("value"), value.get("wait", 5.0)
--- a/terndrift/rehearse/run.py
+++ b/terndrift/rehearse/run.py
@@ -308,7 +308,8 @@
                 **seconds.report(facts, self.seconds), **placements.report(facts),
                 **(calls.report(facts, self.drawn.arrivals) if self.day["calls"]["rooms"] else {}),
                 **(told_off.report(facts) if self.churn else {}),
-                **(fleet.report(facts, self.between.deaths()) if self.between else {}), **judge.report(facts)}
+                **(fleet.report(facts, self.between.deaths()) if self.between else {}), **fleet.worked(facts),
+                **judge.report(facts)}
 
 
 async def _post(pool, address, path, value):
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -17,6 +17,7 @@
 from terndrift.core.host import Clock, Host
 from terndrift.decide import Controller
 from terndrift.fleet.service import Fleet, settled
+from terndrift.fleet.site import Site
 from terndrift.http.carrier import HttpCarrier
 from terndrift.http.client import Pool
 from terndrift.http.front import Front, Served
@@ -187,6 +188,9 @@
         self.fleet = None
         if value["fleet"]["name"]:
             self.fleet = Fleet(value["fleet"], self.core.name, self.clock, made.seed, self.log)
+            if value["fleet"]["work"]:
+                self.fleet.site = Site(self.fleet.controller, self.listing, self.titles.versions,
+                                       self._playbacks_at, self.clock)
         self._open_catalogue(value["catalogue"])
 
     def _list_changed(self, entries, there, gone, forgotten, old):
@@ -255,6 +259,8 @@
             self.offer_address = await self.serving.start(self.value["offer"]["listen"])
         if self.fleet:
             await self.fleet.start()
+            if self.fleet.site:
+                await self.fleet.site.look()
         self.tasks.append(asyncio.ensure_future(self._seconds()))
         if self.value["ready"]:
             part = self.value["ready"] + ".part"
@@ -273,6 +279,8 @@
                 self.host.tell_late(self.log)
                 self.front.every_second()
                 await self.sources.every_second()
+                if self.fleet and self.fleet.site:
+                    await self.fleet.site.look()
             except Exception as fault:  # the next second must come all the same
                 self.log.error("fault of a front", exc_info=fault)
 
--- a/terndrift/xds/follow.py
+++ b/terndrift/xds/follow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from terndrift.fleet.site import SOURCE as WORK
 from terndrift.listing.file import Followed
 from terndrift.listing.service import Listing
 from terndrift.xds.sources import source
@@ -15,6 +16,7 @@
     def __init__(self, value, clock, hand, log, seed=0, at=lambda id: 0):
         self.value, self.log, self.tasks = value, log, []
         names = ("file", *value["xds"]) if value["list"] else tuple(value["xds"])
+        names += (WORK,) if value["fleet"]["work"] else ()
         self.listing = Listing(clock, hand, log, names, seed, at)
         self.file = Followed(value["list"], value["list_poll"] / SECOND, clock.of_wall,
                              lambda lines: self.listing.whole("file", lines), log)
--- /dev/null
+++ b/tests/test_work.py
@@ -0,0 +1,239 @@
+"""Machines out for work, in virtual time: a fleet that places playbacks while machines go in turn."""
+
+import random
+
+import pytest
+
+from terndrift.fleet import work
+from terndrift.fleet.arena import Arena
+from terndrift.fleet.work import Machine, Seen, State, Work
+
+SECOND = 1_000_000_000
+NAMES = [f"c{n}" for n in range(6)]
+VOTERS = NAMES[:3]
+
+
+def plan(machines, **more):
+    return {"machines": list(machines), "needs": 4 * SECOND, "drain": 6 * SECOND, "warm": 2 * SECOND,
+            "most": 2, "most_rack": 1, "most_zone": 0, "ready_share": 0.5, "holders": 1, "urgency": 0,
+            "why": "", **more}
+
+
+class Site:
+    """Eight streamers in four racks, six controllers that place where they may, workers with permits."""
+
+    def __init__(self, seed=1, **more):
+        self.arena = Arena(NAMES, VOTERS, seed, **more)
+        self.chance = random.Random(f"site/{seed}")
+        self.standing = {f"s{n}": [n % 4, True, 0] for n in range(8)}  # name -> rack, there, started
+        self.plays = {n: [] for n in NAMES}  # controller -> [(machine, until)]
+        self.touched, self.wrong, self.out = {}, [], {}  # machine -> times touched; ...; machine -> until
+        self.most_out, self.placed = 0, 0
+        self.arena.start()
+        for name in NAMES:
+            self.host(name)
+        assert self.arena.until(self.arena.settled, 30) is not None
+        self.arena.call("c0", "restart", None)
+        followers = [c.follower for c in self.arena.up.values()]
+        assert self.arena.until(lambda: all(len(f.state["voters"]) == 3 for f in followers), 30) is not None
+
+    def host(self, name):
+        c = self.arena.up[name]
+        c.machines = self.machines
+        c.holding = lambda names: {m: sum(p[0] == m for p in self.plays[name]) for m in names}
+
+    def machines(self):
+        return {n: Machine(n, rack, "", 1.0, there, started, frozenset())
+                for n, (rack, there, started) in self.standing.items()}
+
+    def state(self, through="c5"):
+        return {m: State(row["state"]) for m, row in work.rows(self.arena.up[through].follower.state).items()}
+
+    def add(self, name, value, through="c4"):
+        id, what = work.added(self.arena.up[through].follower.state, value, name, "ops")
+        self.arena.call(through, "propose", id, what)
+        assert self.arena.until(lambda: id in self.arena.up[through].follower.state["ids"], 20) is not None
+
+    def go(self, seconds, until=lambda: False):
+        """Lets time pass: controllers place, playbacks end, workers touch what they may and start it anew."""
+        for _ in range(int(seconds * 10)):
+            self.arena.run(0.1)
+            self._place()
+            self._touch()
+            if until():
+                return True
+        return False
+
+    def _place(self):
+        now = self.arena.now
+        for name, c in self.arena.up.items():
+            if name in self.arena.stopped:
+                continue
+            self.plays[name] = [p for p in self.plays[name] if p[1] > now]
+            off, may = c.off(now)
+            there = [m for m, (_, up, _) in self.standing.items() if up and m not in off]
+            if may and there and self.chance.random() < 0.3:
+                self.placed += 1
+                until = now + int(self.chance.uniform(1, 4) * SECOND)
+                self.plays[name].append((self.chance.choice(there), until))
+
+    def _touch(self):
+        now = self.arena.now
+        for machine, until in list(self.out.items()):
+            if now >= until:
+                del self.out[machine]
+                self.standing[machine][1:] = True, now
+        permits = {m for c in self.arena.up.values() for m, row in work.rows(c.follower.state).items()
+                   if row["state"] == State.OUT.value and (m, row["n"]) not in self.touched}
+        for machine in permits:
+            row = next(work.rows(c.follower.state)[machine] for c in self.arena.up.values()
+                       if work.rows(c.follower.state).get(machine, {}).get("state") == State.OUT.value)
+            self.touched[machine, row["n"]] = now
+            held = [n for n, plays in self.plays.items() if any(p[0] == machine for p in plays)
+                    and n in self.arena.up]
+            if held:
+                self.wrong.append(f"{machine} touched while {held} play there")
+            self.standing[machine][1] = False
+            self.out[machine] = now + 2 * SECOND
+        self.most_out = max(self.most_out, sum(not up for _, up, _ in self.standing.values()))
+        for name, plays in self.plays.items():
+            placed = [m for m, _ in plays if m in self.out]
+            if placed and name in self.arena.up:
+                self.wrong.append(f"{name} has {placed} which is out")
+                self.plays[name] = [p for p in plays if p[0] not in self.out]
+
+    def done(self):
+        states = self.state()
+        return bool(states) and all(s in work.ENDED for s in states.values())
+
+
+def test_a_plan_for_all_machines_goes_through_within_its_budget_and_nobody_is_touched_while_held():
+    site = Site()
+    site.add("kernel", plan(site.standing))
+    assert site.go(240, site.done)
+    assert not site.wrong and site.most_out <= 2 and len(site.touched) == 8
+    assert set(site.state().values()) == {State.DONE} and site.placed > 200
+
+
+def leader(site):
+    assert site.arena.until(lambda: len(site.arena.leaders()) == 1, 15) is not None
+    return site.arena.leaders()[0]
+
+
+@pytest.mark.parametrize("at", [State.TOLD, State.EMPTY, State.OUT, State.BACK, State.WARMING])
+def test_a_leader_killed_at_any_step_is_followed_by_one_that_goes_on_there(at):
+    site = Site(seed=2)
+    site.add("kernel", plan(["s0", "s1"], most=1))
+    killed = []
+
+    def there():
+        lead = site.arena.leaders()
+        if lead and not killed and at in site.state(lead[0]).values():
+            killed.append(lead[0])
+            site.arena.kill(lead[0])
+            site.plays[lead[0]] = []
+        if killed and site.arena.now > when() + 3 * SECOND and killed[0] not in site.arena.up:
+            site.arena.start(killed[0])
+            site.host(killed[0])
+        return site.done()
+
+    def when():
+        return max([c[0] for c in site.arena.changes if c[2] == killed[0] and c[4].name == "SUSPECT"],
+                   default=site.arena.now)
+
+    assert site.go(240, there) and killed
+    assert not site.wrong and site.most_out == 1 and len(site.touched) == 2
+    revs = [e.value for e in site.arena.agreed.values() if e.kind == "value" and work.REV in e.value]
+    assert len(revs) >= 11
+
+
+def test_a_leader_that_stood_still_comes_back_with_its_old_belief_and_changes_nothing():
+    site = Site(seed=3)
+    site.add("kernel", plan(site.standing))
+    assert site.go(60, lambda: State.TOLD in site.state().values())
+    old = leader(site)
+    site.arena.stop(old)
+    site.go(10)
+    site.arena.go_on(old)
+    assert site.go(300, site.done)
+    assert not site.wrong and site.most_out <= 2
+
+
+def test_a_permit_waits_for_a_controller_that_is_cut_off_until_it_can_place_no_more():
+    site = Site(seed=4)
+    cut = "c5"
+    site.arena.cut = lambda a, b: (a == cut) != (b == cut)
+    site.add("kernel", plan(["s3"]))
+    began = site.arena.now
+    assert site.go(15, lambda: site.state("c4").get("s3") is State.TOLD)
+    assert not site.go(15, lambda: site.touched), "it was touched while c5 may still have placed there"
+    assert site.go(30, lambda: site.touched)
+    assert site.arena.now - began > work.LIMIT and not site.wrong
+    assert not site.arena.up[cut].off(site.arena.now)[1], "it places on nothing any more"
+    site.arena.cut = lambda a, b: False
+    assert site.go(60, site.done) and site.arena.up[cut].off(site.arena.now) == (set(), True)
+
+
+def test_a_restarted_controller_places_on_nothing_before_it_knows_what_was_told_off():
+    site = Site(seed=5)
+    site.arena.kill("c4")
+    site.arena.cut = lambda a, b: "c4" in (a, b)
+    site.arena.start("c4")
+    site.host("c4")
+    site.arena.run(5)
+    assert site.arena.up["c4"].off(site.arena.now) == (set(), False)
+    site.arena.cut = lambda a, b: False
+    assert site.arena.until(lambda: site.arena.up["c4"].off(site.arena.now)[1], 20) is not None
+
+
+def seen(count=4, **more):
+    machines = {f"s{n}": Machine(f"s{n}", n % 2, "z", 1.0, True, 0, frozenset()) for n in range(count)}
+    for name, changed in more.items():
+        machines[name] = Machine(**{**machines[name].__dict__, **changed})
+    return Seen(machines, frozenset())
+
+
+def test_what_dies_or_drains_by_itself_uses_the_budget_up():
+    one = plan(["s0"], most=1, paused=False)
+    assert Work().holds_up("s0", one, {}, seen()) == ""
+    assert "1 are missing where 1 may be: s3" in Work().holds_up("s0", one, {}, seen(s3={"ready": False}))
+    assert "not by this work" in Work().holds_up("s0", one, {}, seen(s0={"ready": False}))
+    two = plan(["s0"], most=3, paused=False)
+    assert "s2 of its rack is missing" in Work().holds_up("s0", two, {}, seen(s2={"ready": False}))
+    zone = plan(["s0"], most=3, most_rack=2, most_zone=1, paused=False)
+    assert "1 of its zone" in Work().holds_up("s0", zone, {}, seen(s3={"ready": False}))
+    share = plan(["s0"], most=3, most_rack=2, ready_share=0.8, paused=False)
+    assert "80% must" in Work().holds_up("s0", share, {}, seen())
+    assert Work().holds_up("s0", {**one, "paused": True}, {}, seen()) == "its plan is paused"
+
+
+def test_a_plan_that_can_never_go_on_is_named_with_titles_and_machines():
+    machines = seen(s0={"titles": frozenset({"lesson"})}, s1={"titles": frozenset({"lesson"})}).machines
+    found = work.never(plan(["s0", "s2"], holders=2), machines)
+    assert found == ["s0: lesson would keep 1 ready holders where 2 must be"]
+    assert work.never(plan(["s9"]), machines) == ["s9: no list names it"]
+
+
+def test_the_machine_that_costs_viewers_least_goes_first_and_none_is_passed_over_for_ever():
+    row = {"plan": "p", "state": "waiting", "n": 0, "by": "ops"}
+    state = {"map": {work.REV: 1, "work/plan/p": plan(["s0", "s1"], most=1, paused=False),
+                     "work/m/s0": row, "work/m/s1": row}}
+    at = seen()
+    at.holds = {"c0": (1, {"s0": 9, "s1": 2}, 0)}
+    one = Work()
+    [(id, _)] = one.steps(0, state, at)
+    assert id == "work/s1/p/1/1" and one.why["s0"] == "s1 goes first"
+    for _ in range(work.PASSED + 1):
+        [(id, value)] = one.steps(0, state, at)
+    assert id == "work/s0/p/1/1" and value["?"] == {work.REV: 1}
+
+
+def test_an_overdue_machine_is_said_so_and_one_that_returns_by_itself_is_taken_back():
+    row = {"plan": "p", "state": "out", "n": 3, "by": "leader", "rev": 2}
+    state = {"map": {work.REV: 5, "work/plan/p": plan(["s0"], paused=False), "work/m/s0": row}}
+    one, gone = Work(), seen(s0={"ready": False})
+    assert one.steps(0, state, gone) == []
+    [(_, value)] = one.steps(6 * SECOND, state, gone)
+    assert value["work/m/s0"]["state"] == "overdue"
+    [(_, value)] = one.steps(7 * SECOND, state, seen(s0={"started": 3 * SECOND}))
+    assert value["work/m/s0"]["state"] == "coming back"
