A suspect is told before it is given up, however suddenly its time runs out

One had suspected it since a cut at 5 s; once four more did, the suspicion's time shrank to what had long passed, and the words that come before the end were left out (members._doubt).

--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -67,6 +67,7 @@
     accusers: set = field(default_factory=set)  # who said that it is suspect
     told: int = 0  # times that the present news of it was passed on
     warned: int = 0  # times that it was told, shortly before its time, that it is suspected
+    word_at: int = 0  # when it is told the next time
 
     def news(self):
         return News(self.name, self.run, self.incarnation, int(self.standing))
@@ -263,17 +264,19 @@
     def _doubt(self, now, m):
         """Before it is given up it is told so: guards against a cut that has healed meanwhile, while all ping
         seldom as the cut has made them doubt themselves. A few datagrams a member and death."""
-        if now >= m.since + self._patience(m):
+        if now < self._word_at(m):
+            return
+        if m.warned >= LAST_WORDS:
             self._turn(now, m, Standing.DEAD)
-        elif now >= self._word_at(m):
-            m.warned += 1
-            self.seq += 1
-            self.out.append((m.name, Ping(self.seq, self._news(m.name))))
+            return
+        m.warned, m.word_at = m.warned + 1, now + PERIOD // 2
+        self.seq += 1
+        self.out.append((m.name, Ping(self.seq, self._news(m.name))))
 
     def _word_at(self, m):
-        """When a suspect is told next; its end, if often enough."""
-        until = m.since + self._patience(m)
-        return until - (LAST_WORDS - m.warned) * PERIOD // 2
+        """When a suspect is told next, or given up if it was told often enough: however short its time became
+        meanwhile, as others came to suspect it too, it is told first."""
+        return m.word_at if m.warned else m.since + self._patience(m) - LAST_WORDS * PERIOD // 2
 
     def _answered(self, now, sender, seq):
         if seq in self.forwards:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 from terndrift.fleet.members import Members, Standing
 from terndrift.fleet.messages import (
     DATAGRAM,
+    Ack,
     Append,
     Entry,
     News,
@@ -362,3 +363,25 @@
     pings = [m for _, m in one.out if isinstance(m, Ping)]
     sizes = [len(sealed("f" * 40, names[0], names[1], m, 9, 1 << 40, 1 << 20)) for m in pings]
     assert pings and len(pings[0].news) > 15 and max(sizes) <= DATAGRAM
+
+
+def test_a_suspect_is_told_before_it_is_given_up_however_suddenly_its_time_runs_out():
+    """fleet-split, seed 7: one accuser for 15 s, then four more within a second, and dead at once."""
+    one = Members("a", "abcdef", 1, 0)
+    for name in "bcdef":
+        one.received(0, name, Ping(1, [News(name, 5, 0, 0)]))
+    one.received(0, "c", Ping(2, [News("b", 5, 0, int(Standing.SUSPECT))]))
+    now = 0
+    while now < 15 * record.SECOND:
+        now = max(now + record.SECOND // 10, one.next_at())
+        one.tick(now)
+        if one.probe:  # everybody else answers
+            one.received(now, one.probe.target, Ack(one.probe.seq, []))
+        one.members["b"].accusers = {"c"}
+    assert one.members["b"].standing is Standing.SUSPECT and not one.members["b"].warned
+    one.out.clear()
+    for name in "def":
+        one.received(now, name, Ping(3, [News("b", 5, 0, int(Standing.SUSPECT))]))
+    one.tick(now)
+    assert one.members["b"].standing is Standing.SUSPECT
+    assert [m for to, m in one.out if to == "b" and isinstance(m, Ping) and News("b", 5, 0, 1) in m.news]
