--- a/terndrift/fleet/site.py
+++ b/terndrift/fleet/site.py
@@ -3,18 +3,20 @@
 
 from dataclasses import replace
 
-from terndrift.fleet.work import Machine
+from terndrift.fleet.work import Machine, rows
+from terndrift.fleet.work import plans as plans_of
 from terndrift.listing.lines import worst
 
 SOURCE = "work"
 
 
 class Site:
-    """`playbacks(id)`: how many a streamer has here, set-ups included."""
+    """`playbacks(id)`: how many a streamer has here, set-ups included; `end(id)` ends what plays there."""
 
-    def __init__(self, controller, listing, versions, playbacks, clock):
+    def __init__(self, controller, listing, versions, playbacks, end, clock):
         self.controller, self.listing, self.versions = controller, listing, versions
-        self.playbacks, self.clock = playbacks, clock
+        self.playbacks, self.end, self.clock = playbacks, end, clock
+        self.since = {}  # (machine, step) that was told off -> when this controller saw it
         self.held, self.held_as_of = {}, None  # streamer's id -> titles that name it among their holders
         controller.machines, controller.holding = self.machines, self.holding
 
@@ -50,7 +52,8 @@
 
     async def look(self):
         """The drains in force, into the list."""
-        off, may = self.controller.off(self.clock.now())
+        now = self.clock.now()
+        off, may = self.controller.off(now)
         lines = {line.address: replace(line, standing="draining") for line, _ in self.rows()
                  if not may or line.name in off}
         source = self.listing.merged.source(SOURCE)
@@ -60,3 +63,16 @@
             await self.listing.take(SOURCE, put, gone)
             if source.doubted:  # that much comes back at once is agreed, not a source that has lost its mind
                 self.listing.confirm(SOURCE)
+        self._ends(now, off)
+
+    def _ends(self, now, off):
+        """What still plays on a machine after its plan's drain time is over: its viewers come again."""
+        state, of = self.controller.follower.state, self.listing.flow.numbers.of
+        table, plans = rows(state), plans_of(state)
+        told = {(name, table[name]["n"]) for name in off}
+        self.since = {key: self.since.get(key, now) for key in told}
+        late = {name for name, n in told
+                if now - self.since[name, n] >= plans.get(table[name]["plan"], {}).get("drain", 0)}
+        for line, _ in self.rows():
+            if line.name in late and line.address in of:
+                self.end(of[line.address])
--- a/terndrift/fleet/work.py
+++ b/terndrift/fleet/work.py
@@ -164,21 +164,22 @@
         return None
 
     def _emptied(self, now, name, row, plan, seen, waited):
-        """Empty once every controller that may place on it goes by its drain and holds nothing there; or
-        can't place any more, being cut off for longer than its limit by anybody's clock; what plays has the
-        drain time."""
-        out_of_reach = waited > LIMIT * (1 + DRIFT) + NOTICED
+        """Empty once every controller that may place on it goes by its drain and holds nothing there: each ends
+        what still plays after the drain time by itself. Or it can't place any more, being cut off for longer
+        than its limit by anybody's clock; what plays there then has had the drain time, and breaks."""
         placing, holding = [], 0
         for member in sorted(seen.members):
             goes_by, counts, _ = seen.holds.get(member, (-1, {}, 0))
             if name in counts and goes_by >= row.get("rev", 0):
                 holding += counts[name]
-            elif not out_of_reach:
+            else:
                 placing.append(member)
+        if waited > (LIMIT + plan["drain"]) * (1 + DRIFT) + NOTICED:
+            return State.EMPTY
         if placing:
             self.why[name] = f"{', '.join(placing[:3])} may still place on it"
             return None
-        if holding and waited < plan["drain"]:
+        if holding:
             self.why[name] = f"{holding} playbacks there have not ended"
             return None
         return State.EMPTY
--- a/terndrift/service.py
+++ b/terndrift/service.py
@@ -13,6 +13,7 @@
 from terndrift.catalogue.source import Source
 from terndrift.catalogue.titles import available, dense, nearest, valid
 from terndrift.catalogue.versions import change_of
+from terndrift.core.carried import Stage
 from terndrift.core.core import Core
 from terndrift.core.host import Clock, Host
 from terndrift.decide import Controller
@@ -22,6 +23,7 @@
 from terndrift.http.client import Pool
 from terndrift.http.front import Front, Served
 from terndrift.http.server import Server
+from terndrift.interface import Ending
 from terndrift.listing.kept import STREAM as LISTING
 from terndrift.scheduler.runner import Runner
 from terndrift.sip.service import Sip
@@ -190,7 +192,7 @@
             self.fleet = Fleet(value["fleet"], self.core.name, self.clock, made.seed, self.log)
             if value["fleet"]["work"]:
                 self.fleet.site = Site(self.fleet.controller, self.listing, self.titles.versions,
-                                       self._playbacks_at, self.clock)
+                                       self._playbacks_at, self._end_at, self.clock)
         self._open_catalogue(value["catalogue"])
 
     def _list_changed(self, entries, there, gone, forgotten, old):
@@ -215,6 +217,12 @@
         streamer = self.core.controller.streamers.get(id)
         return len(streamer.playbacks) if streamer else 0
 
+    def _end_at(self, id):
+        """Ends what plays at a streamer: work there begins."""
+        for carried in list(self.core.held.values()):
+            if carried.stage is Stage.PLAYING and carried.streamer.id == id:
+                self.host.do(self.core.over, carried, Ending.CALLED_OFF)
+
     def _open_catalogue(self, value):
         """Raises store.Held, store.Damaged where its folder can't be had."""
         versions, committer = self.titles.versions, None
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -182,12 +182,14 @@
 
 
 def test_a_day_of_cuts_kills_stops_and_lost_stores_over_processes(tmp_path):
-    """Six controllers, three voters: nothing agreed is lost, changed or doubled, and the six rules hold."""
+    """Six controllers, three voters: nothing agreed is lost, changed or doubled, the six rules hold, and two
+    streamers go out for work in turn, untouched while anybody is there."""
     (tmp_path / "day.rec").write_text("""
 include "common.rec"
 viewers: rate: 5.0
 size: {controllers: 6, streamers: 8, seconds: 20}
 members: {voters: 3, propose: 4.0}
+work: {share: 0.25, from: 0.02, needs: 1s, drain: 3s, warm: 1s, most: 1}
 troubles: [
 	{kind: "cut",    from: 0.05, lasts: 3s, share: 0.34, size: 2.0},
 	{kind: "kill",   from: 0.25, lasts: 1s, share: 0.17},
@@ -205,3 +207,5 @@
     found = types.SimpleNamespace(**report["fleet"])
     assert found.agreed > 40 and (found.lost, found.changed, found.doubled) == (0, 0, 0)
     assert found.same_at_end
+    assert report["work"] == {"planned": 2, "done": 2, "touched_while_held": 0, "over_budget_s": 0.0,
+                              "stuck": {}}
