--- a/terndrift/fleet/work.py
+++ b/terndrift/fleet/work.py
@@ -164,8 +164,8 @@
         return None
 
     def _emptied(self, now, name, row, plan, seen, waited):
-        """Empty once every controller that may place on it goes by its drain and holds nothing there; each ends
-        what still plays after the drain time by itself. Or it can't place any more, being cut off for longer
+        """Empty once every controller that may place on it goes by its drain and holds nothing there; each
+        ends what still plays after the drain time by itself. Or it can't place any more, being cut off longer
         than its limit by anybody's clock; what plays there then has had the drain time, and breaks."""
         placing, holding = [], 0
         for member in sorted(seen.members):
