--- a/terndrift/fleet/members.py
+++ b/terndrift/fleet/members.py
@@ -22,8 +22,8 @@
 # Bytes of news in one message, each its name and NEWS more: with what else stands there it fits a datagram.
 ROOM, NEWS = 1000, 18
 MOST_TOLD = 20  # members told at once, of one whole exchange, that they are doubted here
-# News is told SPREAD * log10(members + 2) times, rounded up (SWIM's lambda log n). With 4 it misses a member in
-# 20,000: of the 90,000 pairs of 300 that a cut has made doubt each other some four, which met minutes later.
+# News is told SPREAD * log10(members + 2) times, rounded up (SWIM's lambda log n). With 4 one in 20,000
+# misses it: of the 90,000 pairs of 300 that a cut has made doubt each other four, which met minutes later.
 SPREAD = 6
 # A suspicion stands at least ALPHA * log10(members) periods, and BETA times that while only one member says
 # so (Lifeguard's defaults: 5 and 6).
