--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,8 @@
 """Members and the record in virtual time: what is lost, cut, killed, stopped, wiped and put back."""
 
+import subprocess
+import sys
+
 import msgspec
 import pytest
 
@@ -385,3 +388,12 @@
     one.tick(now)
     assert one.members["b"].standing is Standing.SUSPECT
     assert [m for to, m in one.out if to == "b" and isinstance(m, Ping) and News("b", 5, 0, 1) in m.news]
+
+
+def test_the_platform_and_the_simulators_way_in_know_nothing_of_the_fleet():
+    code = ("import sys, {0}\n"
+            "print([m for m in sys.modules if m.startswith(('terndrift.fleet', 'matplotlib', 'grpc'))])")
+    for module in ("terndrift.platform.service", "terndrift.adapter.host"):
+        ran = subprocess.run([sys.executable, "-c", code.format(module)], capture_output=True, text=True,
+                             check=True)
+        assert ran.stdout.strip() == "[]", module
