--- a/terndrift/fleet/member.py
+++ b/terndrift/fleet/member.py
@@ -7,7 +7,7 @@
 
 from terndrift.fleet import messages, work
 from terndrift.fleet.agreed import Follower
-from terndrift.fleet.members import Members
+from terndrift.fleet.members import Members, Standing
 from terndrift.fleet.messages import Agreed, Holds, Propose, Pull
 from terndrift.fleet.record import Role, Voter
 
@@ -141,6 +141,9 @@
         to = self.leader()
         if to in (None, self.me) or again > 1:
             there = [v for v in self.voters if v != self.me and v in self.members.alive()]
+            # one that is suspected may be cut off, and what is sent to it lost
+            sure = [v for v in there if self.members.members[v].standing is Standing.ALIVE]
+            there = sure or there
             to = there[(now // MS + again) % len(there)] if there else None
         if to:
             self._say(now, [(to, Propose(m.id, m.value, m.hops + 1))])
