--- a/terndrift/audit/seconds.py
+++ b/terndrift/audit/seconds.py
@@ -45,16 +45,16 @@
         return self.wanted() >= LEAST and 2 * self.in_target < self.wanted() and self.carried()
 
 
-class Spans:
-    """What played, from its set-up's answer to its end, with its rungs over time."""
-
-    def __init__(self, facts):
-        self.all = []  # (pb, title, streamer, from, until, [(from, rung)])
-        for t in facts.tries:
-            if t.code == 200:
-                until = ends(facts, t)
-                rungs = [(at, rung) for at, rung in facts.media.get(t.pb, ()) if t.over <= at <= until]
-                self.all.append((t.pb, t.title, t.streamer, t.over, until, rungs))
+def played(facts):
+    """What played, from its set-up's answer to its end, with its rungs over time:
+    [(pb, title, streamer, from, until, [(from, rung)])]."""
+    out = []
+    for t in facts.tries:
+        if t.code == 200:
+            until = ends(facts, t)
+            rungs = [(at, rung) for at, rung in facts.media.get(t.pb, ()) if t.over <= at <= until]
+            out.append((t.pb, t.title, t.streamer, t.over, until, rungs))
+    return out
 
 
 def rung_at(rungs, at, first=0):
@@ -67,7 +67,7 @@
     if told is None:
         return []
     begin, out = told["begin"], [Row() for _ in range(seconds)]
-    spans = Spans(facts).all
+    spans = played(facts)
     _asks(facts, spans, begin, out)
     for t in facts.tries:
         n = (t.at - begin) // SECOND
@@ -170,7 +170,7 @@
     """(changes of rung up, down, minutes played)."""
     ups = downs = 0
     minutes = 0.0
-    for _, _, _, since, until, rungs in Spans(facts).all:
+    for _, _, _, since, until, rungs in played(facts):
         minutes += (until - since) / (60 * SECOND)
         for (_, a), (_, b) in zip(rungs, rungs[1:], strict=False):
             ups, downs = ups + (b > a), downs + (b < a)
