A cold streamer's turns are bounded for idle controllers that a wave reaches; short waits are served

Where the start is known the ranks of a turn are now as many as the limit and its spread hold: 7.

The core kept 120 ms of any wait for itself: deadlines under that were all rejected at once. A third at most now.

--- a/terndrift/core/core.py
+++ b/terndrift/core/core.py
@@ -16,12 +16,14 @@
 # The decisions give up this part of the client's time before its end, and so much at least: a scan of theirs
 # is 50 ms apart, and the client's clock began when it asked, not when a busy loop came to read it. Found by
 # rehearsals, five at once on a machine: answers 5 and 55 ms late with a fixed 120 ms. Guards rule 1 against
-# busy loops and slow ways on either side; costs the last tenth of the longest waits.
-MARGIN_PART, MARGIN_LEAST = 10, 120 * MS
+# busy loops and slow ways on either side; costs the last tenth of the longest waits. Of a short wait it takes
+# a third at most: a deployment may have deadlines under 120 ms, and all of them would be rejected at once.
+MARGIN_PART, MARGIN_LEAST, MARGIN_MOST_PART = 10, 120 * MS, 3
 
 
 def margin(time_left):
-    return max(MARGIN_LEAST, time_left // MARGIN_PART)
+    """ns before its deadline at which the decisions are to have answered a playback."""
+    return max(min(MARGIN_LEAST, time_left // MARGIN_MOST_PART), time_left // MARGIN_PART)
 
 
 def last_word(time_left):
--- a/terndrift/decide.py
+++ b/terndrift/decide.py
@@ -481,12 +481,17 @@
             return at is None
         # set-ups the pace allows in a window, at the least warmth; a tenth of the limit is left unused
         fit = s.places * rules.cold_share * rules.fall_window / rules.cold_for
-        share = 1 if int(fit) + 2 <= 0.9 * rules.fall_multiple * fit else 0.34
+        limit = 0.9 * rules.fall_multiple * fit
+        share = 1 if int(fit) + 2 <= limit else 0.34
         # where playbacks are rare several ranks share a turn, up to a quarter of a playback: room for surges.
-        # A streamer only suspected to be cold is one of many choices. A prime, as ids may be in a row
+        # Where the start is known, no more of them than keep a wave that all see at once within the limit and
+        # its spread (two roots of it), as each has a playback for its turn then. Guards idle controllers that
+        # a wave reaches; could harm by filling a lone holder slower. A streamer only suspected to be cold is
+        # one of many choices. A prime, as ids may be in a row
         turns = (now - self.recent[0] + 5 * SECOND) * fit / rules.fall_window / len(self.recent)
         known = s.down is not None or now - s.listed.started < rules.cold_for
-        group = max(1, min(int(0.25 * turns * (1 if known else choices)), ranks))
+        most = (limit + 2 * limit**0.5) / (int(fit) + 2) if known else ranks
+        group = max(1, int(min(0.25 * turns * (1 if known else choices), most, ranks)))
         mine = (int(at) * group + 7919 * s.listed.id - rank) % ranks < group
         return mine and at % 1 < share and (s.slot is None or int(s.slot) != int(at))
 
