--- a/terndrift/platform/service.py
+++ b/terndrift/platform/service.py
@@ -9,6 +9,7 @@
 from terndrift.core.core import Core
 from terndrift.core.host import Clock, Host
 from terndrift.interface import Standing
+from terndrift.log_stream import LogStream
 from terndrift.platform import settings
 from terndrift.platform.carrier import Carrier
 from terndrift.platform.feed import Feed
@@ -207,7 +208,7 @@
 
 
 def main(environ):
-    log = logs.setup("info", "json")
+    log = logs.setup("info", "json", LogStream(sys.stderr.fileno()))
     path = environ.get("LB_CONFIG")
     if not path:
         sys.exit("terndrift: LB_CONFIG is not set")
