--- a/tests/test_settings_range.py
+++ b/tests/test_settings_range.py
@@ -29,7 +29,7 @@
     def number(least, most):
         return draw(st.floats(least, most, allow_nan=False))
 
-    plans, rungs, kinds = whole(0, 4), whole(1, 8), whole(0, 3)
+    plans, rungs, kinds = draw(st.sampled_from([2, 4, 1, 0])), whole(1, 8), whole(0, 3)
     floors = [whole(0, rungs - 1) for _ in range(plans)]
     deadlines = [draw(st.sampled_from([1500, 5000, 20_000, 240, 50, 1])) * MS for _ in range(plans)]
     controllers = draw(st.sampled_from([1, 2, 30, 300]))
@@ -39,7 +39,8 @@
         "areas": [f"z{n}" for n in range(whole(0, 5))], "host_types": [f"k{n}" for n in range(kinds)],
         "registry_mode": "subscribe" if asked else "automatic",
         "profiles": [{
-            "name": f"p{n}", "worth": number(0, 10), "slo_ns": whole(0, deadlines[n]),
+            "name": f"p{n}", "worth": number(0, 10),
+            "slo_ns": deadlines[n] // draw(st.sampled_from([1, 2, 10**12])),
             "deadline_ns": deadlines[n],
             "effect": draw(st.sampled_from(["at_most_once", "idempotent", "deduplicated", "new"]))}
             for n in range(plans)],
@@ -48,11 +49,12 @@
             "worth_by_rung": [(n + 1) / rungs for n in range(rungs)], "lowest_rung": floors,
             "top_by_class": [whole(floor, 9) for floor in floors],
             "class_seats": [whole(0, 3) for _ in floors],
-            "scale_by_class": [number(0.1, 4) for _ in floors],
+            "scale_by_class": [draw(st.sampled_from([1.0, 0.1, 4.0])) for _ in floors],
             "class_live": [draw(st.booleans()) for _ in floors], "shared_adds": number(0.01, 1),
-            "places": whole(1, 40), "racks": whole(1, 12),
+            "places": draw(st.sampled_from([4, 8, 1, 40])), "racks": whole(1, 12),
             "places_by_kind": [whole(0, 50) for _ in range(kinds)],
-            "link_unit_kb": draw(st.sampled_from([10_000.0, 1000.0, 1.0])), "rack_kb": number(0, 50_000),
+            "link_unit_kb": draw(st.sampled_from([10_000.0, 1000.0, 1.0])),
+            "rack_kb": draw(st.sampled_from([50_000.0, 0, 500.0])),
             "see_ns": whole(0, 2 * S),
             "reports_every_ns": whole(0, 5 * S), "refuses_from": number(0, 2),
             "switch_cost_s": number(0, 2), "shortfall_cost": number(0, 10)},
@@ -67,7 +69,8 @@
             "cold_ns": whole(0, 60 * S), "start_capacity": number(0, 1), "tip_multiple": number(0, 5),
             "overload_for_ns": whole(0, 10 * S), "drain_grace_ns": whole(0, 3 * S),
             "grace_to_answer_ns": whole(0, 100 * MS), "ask_within_ns": whole(0, 10 * S),
-            "free_resends": whole(0, 3), "repeat_ratio": number(0, 0.3), "budget_span_ns": whole(0, 20 * S)},
+            "free_resends": draw(st.sampled_from([3, 1, 0])), "repeat_ratio": number(0, 0.3),
+            "budget_span_ns": whole(0, 20 * S)},
     }
 
 
@@ -87,7 +90,9 @@
         self.count, self.due = itertools.count(), []
         self.out, self.ran, self.playing, self.extra, self.taken = {}, set(), set(), [], []
         self.standing, self.off = {}, {}
-        self._list([self._row(n) for n in range(min(6, self.cells + 1))])
+        self.core.controller.began_empty = self.random.random() < 0.3  # else no streamer may be a new one
+        self.streamers = min(10, self.cells + 1)
+        self._list([self._row(n) for n in range(self.streamers)])
 
     def _watch(self, event, carried, **facts):
         assert event != "fault", facts
@@ -130,7 +135,8 @@
         assert not plan.seats or len(seated) <= plan.seats
         ending = self.random.choice([None, None, *ENDINGS, "silent"])
         if ending != "silent":
-            self._at(self.random.randrange(max(1, 2 * time_out)), self._ended, carried, carried.tries, ending)
+            longest = self.random.choice([100 * MS, 100 * MS, 2 * time_out])
+            self._at(self.random.randrange(longest), self._ended, carried, carried.tries, ending)
 
     def call_off(self, carried):
         self._at(50 * MS, self._ended, carried, carried.tries, Ending.CALLED_OFF)
@@ -169,7 +175,8 @@
         left = self.random.choice([longest, self.random.randrange(longest) + 1, 5 * S])
         home, copies = self.random.randrange(self.cells), self.random.randrange(self.cells) + 1
         wanted = Wanted(plan.name, f"t{self.random.randrange(3)}", self.layout.holders(home, copies),
-                        self.random.randrange(10), left, self.random.choice([0, 5 * S]))
+                        self.random.choice([9, 9, self.random.randrange(10)]), left,
+                        self.random.choice([0, 5 * S]))
         answers, box = [], []
 
         def answered(answer):
@@ -206,7 +213,7 @@
             if what < 0.85 and self.d.plans:
                 answers.append(self.want())
             elif what < 0.9:
-                n = self.random.randrange(6)
+                n = self.random.randrange(self.streamers)
                 self._list([self._row(n, self.random.choice(list(Standing)))])
             self.pass_time(self.random.choice([0, 0, 50 * MS, 400 * MS]))
         self.pass_time(30 * S)
