--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,6 +1,7 @@
 """The control feed: what of its replies is taken, and what may cross a call, a reply and a move."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -161,6 +162,16 @@
     return write
 
 
+@contextlib.asynccontextmanager
+async def followed(feed, server=None):
+    """A feed at that server's address, if there is one, that is followed meanwhile."""
+    if server is not None:
+        feed.address = server.address
+    task = asyncio.ensure_future(feed.follow())
+    yield feed
+    task.cancel()
+
+
 def run(test):
     asyncio.run(asyncio.wait_for(test, 60))
 
@@ -174,11 +185,8 @@
                 broken_off(reply(1), 5), http(b"{"), http(deep), http(b"\xff\xfe"), http([1]),
                 b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", broken_off({}, 40),
                 http(reply(1, 2))) as server:
-            feed = following(got, said)
-            feed.address = server.address
-            task = asyncio.ensure_future(feed.follow())
-            await until(lambda: feed.held == 2)
-            task.cancel()
+            async with followed(following(got, said), server) as feed:
+                await until(lambda: feed.held == 2)
             assert [n for n, _ in got] == [1, 2]
             assert not [level for level, _, _ in said if level == "error"]
 
@@ -187,15 +195,12 @@
 
 def test_a_call_given_up_leaves_no_connection_behind():
     async def inside():
-        async with Scripted() as old, Scripted(http(reply(1))) as new:
-            feed = following([])
-            feed.address = old.address
-            task = asyncio.ensure_future(feed.follow())
+        async with (Scripted() as old, Scripted(http(reply(1))) as new,
+                    followed(following([]), old) as feed):
             await until(lambda: old.asked)
             feed.move(new.address)
             await until(lambda: feed.held == 1)
             await until(lambda: not old.open)
-            task.cancel()
 
     run(inside())
 
@@ -205,11 +210,10 @@
         async with Scripted(http(reply(1))) as new:
             feed = following([])
             feed.pause = lambda: 3600
-            task = asyncio.ensure_future(feed.follow())
-            await until(lambda: feed.broken)
-            feed.move(new.address)
-            await until(lambda: feed.held == 1)
-            task.cancel()
+            async with followed(feed):
+                await until(lambda: feed.broken)
+                feed.move(new.address)
+                await until(lambda: feed.held == 1)
 
     run(inside())
 
@@ -229,9 +233,8 @@
                 return await task
 
             feed._ask = ask_and_move
-            task = asyncio.ensure_future(feed.follow())
-            await until(lambda: feed.held == 3)
-            task.cancel()
+            async with followed(feed):
+                await until(lambda: feed.held == 3)
             assert [n for n, _ in got] == [1, 2, 3] and "SUB=2" in new.asked[0]
 
     run(inside())
@@ -239,16 +242,13 @@
 
 def test_a_feed_at_a_dead_address_is_left_for_the_next_one():
     async def inside():
-        async with Scripted() as old, Scripted(http(reply(1))) as new:
-            feed = following([])
-            feed.address = old.address
-            task = asyncio.ensure_future(feed.follow())
+        async with (Scripted() as old, Scripted(http(reply(1))) as new,
+                    followed(following([]), old) as feed):
             await until(lambda: old.asked)
             feed.move("127.0.0.1:1")
             await until(lambda: feed.broken)
             feed.move(new.address)
             await until(lambda: feed.held == 1)
-            task.cancel()
 
     run(inside())
 
