Review: case 1 works out the use of links from the sessions

Cause: the stand-ins said that links were full without the sessions that fill them. Change: links and uplinks are worked out from the sessions, and short delivery is told. Cases 2 and 3 as before.

--- a/review/common/sites.py
+++ b/review/common/sites.py
@@ -53,7 +53,7 @@
 
 
 def glanhafren():
-    """Return the settings of glanhafren-depot; mostly those printed in WIRE."""
+    """Return the settings of glanhafren-depot: names as in WIRE, links at the lower end of the ranges."""
     return _settings(
         "hall-a",
         ["two-core"],
@@ -61,16 +61,16 @@
         {
             "class_live": [False],
             "class_seats": [0],
-            "fleet_kb": 94175.0,
-            "link_unit_kb": 7848.0,
+            "fleet_kb": 49920.0,
+            "link_unit_kb": 3840.0,  # 2 cores, 3.2 sessions each, at the middle rate of 600 kB/s
             "lowest_rung": [0],
             "places": 12,
-            "places_by_kind": [34],
-            "rack_kb": 22399.0,
-            "racks": 3,
+            "places_by_kind": [17],  # 2.7 times as many streams
+            "rack_kb": 18200.0,  # 6.5 boxes, 73% of their links
+            "racks": 2,
             "refuses_from": 1.0,
             "reports_every_ns": 3750 * MS,
-            "rung_kb": [201.0, 418.0, 868.0, 1804.0],
+            "rung_kb": [222.0, 440.0, 880.0, 1900.0],  # 0.37 to 3.2 times the middle rate
             "scale_by_class": [1.0],
             "see_ns": 880_854_000,
             "shared_adds": 1.0,
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -134,14 +134,16 @@
 class Streamer:
     """A streamer: answers set-ups after `work` seconds, sends notes, ends what it is told to end.
 
-    It has an address for each controller. `link_use` is what is asked of its link over what the link gives;
-    from `refuses_from` on (0: never) it answers that it is full. It sends the note on its link every
-    `interval` seconds, on one session of each controller.
+    It has an address for each controller. `link_use` is what is asked of its link over what the link gives,
+    unless `Deployment.measure_links` has it worked out from the sessions; from `refuses_from` on (0: never)
+    it answers that it is full. It sends the note on its link every `interval` seconds, on one session of each
+    controller.
     """
 
     def __init__(self, record, name, cell, zone, kind, controllers):
         self.record, self.name, self.cell, self.zone, self.kind = record, name, cell, zone, kind
         self.work, self.link_use, self.refuses_from, self.interval = 0.06, 0.3, 0.0, 0.0
+        self.rates, self.link_kb, self.uplink_kb, self.rack = (), 0.0, 0.0, [self]
         self.born_ms, self.hanging, self.vanished = 0, False, False
         self.sessions, self.links, self.old_links, self.unheard = {}, [], set(), []
         self.ports, self.listeners, self.fillers = [0] * controllers, [], []
@@ -289,10 +291,27 @@
         session = self.sessions[id] = Session(id, number, None, rung, title, plan)
         session.state = "stands"
 
+    def demand(self):
+        """Return the kB/s that its sessions ask of its link."""
+        return sum(
+            self.rates[session.rung] for session in self.sessions.values() if session.state == "stands"
+        )
+
+    def use(self):
+        """Return what is asked of its link over what the link gives."""
+        return self.demand() / self.link_kb if self.rates else self.link_use
+
+    def delivered(self):
+        """Return the share of their rates that its sessions get on its link and its rack's uplink."""
+        if not self.rates:
+            return 1.0
+        uplink_use = sum(streamer.demand() for streamer in self.rack) / self.uplink_kb
+        return min(1.0, 1 / max(self.use(), uplink_use, 1e-9))
+
     def load(self):
         """Return its load report."""
         active = sum(session.state != "over" for session in self.sessions.values())
-        return f"active:{active};x0:{self.link_use:.3f}"
+        return f"active:{active};x0:{self.use():.3f}"
 
     def _on_end(self, link):
         for session in self.sessions.values():
@@ -328,7 +347,7 @@
         await asyncio.sleep(self.work)
         if session.state != "set-up" or self.hanging or self.vanished:
             return
-        if self.refuses_from and self.link_use >= self.refuses_from:
+        if self.refuses_from and self.use() >= self.refuses_from:
             self._over(session, "full")
             self.record(self.name, f"sent release {session.id.hex()} cause 34 (full)")
             session.link.send(encode_release(session.id, 34, (REPORT, self.load())))
@@ -350,7 +369,7 @@
             self.unheard.append((session.number, data))
 
     async def _notes(self):
-        told = set()
+        told, short, delivery_at = set(), set(), self.record.now() + 1
         self.noted_at = self.record.now()
         while True:
             await asyncio.sleep(0.02)
@@ -367,13 +386,25 @@
                     self._note(session, "at_rung", str(session.rung))
             if self.interval and self.record.now() >= self.noted_at + self.interval:
                 self.note_link_use()
+            if self.record.now() >= delivery_at:
+                short, delivery_at = self._note_delivery(short), self.record.now() + 1
 
     def note_link_use(self):
         """Send the note on the link's use, on one session of each controller."""
         self.noted_at = self.record.now()
         for number in range(len(self.ports)):
             if standing := self.standing(number):
-                self._note(standing[0], "link_use", f"{self.link_use:.3f}")
+                self._note(standing[0], "link_use", f"{self.use():.3f}")
+
+    def _note_delivery(self, short):
+        """Send the note on the delivered share while it is short; return the controllers that got it."""
+        share, now_short = self.delivered(), set()
+        for number in range(len(self.ports)):
+            if (standing := self.standing(number)) and (share < 0.98 or number in short):
+                self._note(standing[0], "served", f"{share:.3f}")
+                if share < 0.98:
+                    now_short.add(number)
+        return now_short
 
     def _note(self, session, name, value):
         self.record(self.name, f"sent note {name} {value} on {session.id.hex()} to n{session.number}")
@@ -649,8 +680,17 @@
         for feed in self.feeds:
             feed.publish(streamers, health, whole)
 
-    async def start(self, plan, wait_ms, figures):
-        """Start the feeds and the controllers; hand over to each one session that plays at every streamer."""
+    def measure_links(self, rates, link_kb, uplink_kb, racks):
+        """Let streamers work out the use of links and uplinks from their sessions; `rates`: kB/s by rung."""
+        for streamer in self.streamers:
+            streamer.rates, streamer.link_kb, streamer.uplink_kb = rates, link_kb, uplink_kb
+            streamer.rack = [other for other in self.streamers if (other.cell - streamer.cell) % racks == 0]
+
+    async def start(self, plan, wait_ms, figures, rung=1, each=1):
+        """Start the feeds and the controllers, and hand over what plays already when the day begins.
+
+        Each controller gets `each` sessions at every streamer, at `rung`.
+        """
         for feed in self.feeds:
             await feed.start()
         self.publish(self.streamers, whole=True)
@@ -658,9 +698,9 @@
             controller.start()
         for controller, viewers in zip(self.controllers, self.viewers, strict=True):
             link = await controller.ready(viewers)
-            for n, streamer in enumerate(self.streamers):
+            for n, streamer in enumerate(self.streamers * each):
                 id, title = viewers.new_id(), f"{viewers.number:08x}{n:08x}"
-                streamer.handed(id, viewers.number, 1, title, plan)
+                streamer.handed(id, viewers.number, rung, title, plan)
                 viewers.hand_over(link, id, plan, wait_ms, title, figures, streamer.name)
         self.record("case", "the day has begun")
 
