--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -148,7 +149,8 @@
         self.sessions, self.links, self.old_links, self.unheard = {}, [], set(), []
         self.ports, self.listeners, self.fillers = [0] * controllers, [], []
         self.tasks, self.set_ups = [], []  # set_ups: (time, id, title, plan) of every set-up received
-        self.noted_at = 0.0
+        # sessions whose rung was told; controllers that hear of short delivery; times of notes
+        self.told, self.short, self.noted_at, self.delivery_at = set(), set(), 0.0, 0.0
 
     # Its process and its machine.
 
@@ -162,8 +164,6 @@
             self.ports[number] = listener.getsockname()[1]
             self.listeners.append(listener)
         self._listen(128)
-        if not self.tasks:
-            self.tasks.append(asyncio.ensure_future(self._notes()))
 
     def _listen(self, backlog):
         for number, listener in enumerate(self.listeners):
@@ -368,26 +368,24 @@
         if kept:
             self.unheard.append((session.number, data))
 
-    async def _notes(self):
-        told, short, delivery_at = set(), set(), self.record.now() + 1
-        self.noted_at = self.record.now()
-        while True:
-            await asyncio.sleep(0.02)
-            if self.hanging or self.vanished:
-                continue
-            for session in list(self.sessions.values()):
-                if (
-                    session.state == "stands"
-                    and session.received_at is None
-                    and session.id not in told
-                    and any(link.open and link.number == session.number for link in self.links)
-                ):  # handed over at the start: the rung in force
-                    told.add(session.id)
-                    self._note(session, "at_rung", str(session.rung))
-            if self.interval and self.record.now() >= self.noted_at + self.interval:
-                self.note_link_use()
-            if self.record.now() >= delivery_at:
-                short, delivery_at = self._note_delivery(short), self.record.now() + 1
+    def tick(self):
+        """Send the notes that are due; called every 20 ms."""
+        now = self.record.now()
+        if self.hanging or self.vanished or not self.sessions:
+            return
+        for session in list(self.sessions.values()):
+            if (
+                session.state == "stands"
+                and session.received_at is None
+                and session.id not in self.told
+                and any(link.open and link.number == session.number for link in self.links)
+            ):  # handed over at the start: the rung in force
+                self.told.add(session.id)
+                self._note(session, "at_rung", str(session.rung))
+        if self.interval and now >= self.noted_at + self.interval:
+            self.note_link_use()
+        if now >= self.delivery_at:
+            self.short, self.delivery_at = self._note_delivery(self.short), now + 1
 
     def note_link_use(self):
         """Send the note on the link's use, on one session of each controller."""
@@ -429,7 +427,7 @@
         count = len(self.events) + 1
         rows = [streamer.row(self.number, health) for streamer in streamers]
         self.events.append({"n": count, "members": {"seq": count, "whole": whole, "hosts": rows}})
-        names = ", ".join(streamer.name for streamer in streamers)
+        names = ", ".join(streamer.name for streamer in streamers[:20])
         self.record(f"feed of n{self.number}", f"holds event {count}: {health}: {names}")
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
@@ -563,10 +561,13 @@
 
 
 def free_address():
-    """Return a free address on the loopback interface."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a free address on the loopback interface, outside the ports that the kernel hands out."""
+    while True:
+        address = ("127.0.0.1", random.randrange(20_000, 32_000))
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            return f"{address[0]}:{address[1]}"
 
 
 class Controller:
@@ -658,7 +659,7 @@
     def __init__(self, record, temporary, settings, controllers):
         self.record, self.streamers = record, []
         self.feeds = [Feed(record, number) for number in range(controllers)]
-        self.controllers, self.viewers = [], []
+        self.controllers, self.viewers, self.ticker = [], [], None
         for number, feed in enumerate(self.feeds):
             own = {**settings, "rank": number, "replicas_of_me": controllers}
             controller = Controller(record, f"n{number}", own, feed, temporary)
@@ -686,11 +687,18 @@
             streamer.rates, streamer.link_kb, streamer.uplink_kb = rates, link_kb, uplink_kb
             streamer.rack = [other for other in self.streamers if (other.cell - streamer.cell) % racks == 0]
 
-    async def start(self, plan, wait_ms, figures, rung=1, each=1):
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(0.02)
+            for streamer in self.streamers:
+                streamer.tick()
+
+    async def start(self, plan, wait_ms, figures, rung=1, each=1, only=None):
         """Start the feeds and the controllers, and hand over what plays already when the day begins.
 
-        Each controller gets `each` sessions at every streamer, at `rung`.
+        Each controller gets `each` sessions at every streamer (or at the first `only` ones), at `rung`.
         """
+        self.ticker = asyncio.ensure_future(self._tick())
         for feed in self.feeds:
             await feed.start()
         self.publish(self.streamers, whole=True)
@@ -698,7 +706,7 @@
             controller.start()
         for controller, viewers in zip(self.controllers, self.viewers, strict=True):
             link = await controller.ready(viewers)
-            for n, streamer in enumerate(self.streamers * each):
+            for n, streamer in enumerate(self.streamers[:only] * each):
                 id, title = viewers.new_id(), f"{viewers.number:08x}{n:08x}"
                 streamer.handed(id, viewers.number, rung, title, plan)
                 viewers.hand_over(link, id, plan, wait_ms, title, figures, streamer.name)
@@ -713,6 +721,8 @@
 
     def stop(self):
         """End everything that was started."""
+        if self.ticker is not None:
+            self.ticker.cancel()
         for part in [*self.controllers, *self.viewers, *self.streamers, *self.feeds]:
             part.stop()
 
