Release playbacks whose streamer was replaced by a new process

Cause: a new connection that came up after a silence counted as a sign of life of all that played there (transport._open, peer.last_message_at), and so did any message of the new process. Neither says that the old process runs.

Fix: ProcessEvidence keeps since when the process at the end of each connection is known to run. A check sends a progress message (it means nothing) on the older connections, which a returned machine resets. What no connection vouches for and nothing has confirmed for 1.25 reports and the lag is released, and the streamer is told. Nothing ends for silence or a reset alone. It works since a reset connection is the one sign that its process is gone, and a note about a playback the one that its process is there.

--- a/terndrift/platform/connection.py
+++ b/terndrift/platform/connection.py
@@ -112,6 +112,12 @@
         self.last_sent_at = self.clock.now()
         return True
 
+    def probe(self, data):
+        """Sends bytes that only test the connection; it does not count as used because of them."""
+        last_sent_at = self.last_sent_at
+        self.send(data)
+        self.last_sent_at = last_sent_at
+
     def close(self, reason):
         """Closes both directions immediately; queued bytes are lost. `reason` is for the log."""
         if not self.stream.closed():
--- a/terndrift/platform/peer.py
+++ b/terndrift/platform/peer.py
@@ -3,6 +3,8 @@
 Owned by the transport, which opens and closes the connections.
 """
 
+from terndrift.platform.process_evidence import ProcessEvidence
+
 # Connections per streamer; beyond these, set-ups share connections. Up to here each set-up gets one of its
 # own, as an unreadable answer fails every set-up on its connection (DAYS, "Bad peers").
 MAX_CONNECTIONS_PER_STREAMER = 4
@@ -20,8 +22,29 @@
         # playback ID -> callback that takes the current rung of a playback to be handed over
         self.hand_overs = {}
         self.unsent_messages = []  # bytes to send on the next connection
-        # when a message last arrived (ns); the task that restores the connection, None if none runs
-        self.last_message_at, self.reconnect_task = 0, None
+        self.evidence = ProcessEvidence()  # which of the playbacks its process still serves
+        self.checked_at = 0  # when its silence was last checked (ns)
+        self.reconnect_task = None  # the task that restores the connection, None if none runs
+
+    def add_connection(self, connection, now):
+        """Adds a connection that has just come up."""
+        self.connections[connection] = {}
+        self.evidence.connection_opened(connection, now)
+
+    def remove_connection(self, connection):
+        """Removes a connection that has ended and returns the attempts that were sent on it."""
+        self.evidence.connection_closed(connection)
+        return self.connections.pop(connection)
+
+    def add_playback(self, id, playback, now):
+        """Adds a playback that plays there."""
+        self.playbacks[id] = playback
+        self.evidence.playback_started(id, now)
+
+    def remove_playback(self, id):
+        """Removes a playback that is over and returns it, None if it is unknown."""
+        self.evidence.playback_ended(id)
+        return self.playbacks.pop(id, None)
 
     def is_unused(self):
         """Whether no playback, attempt or message depends on this streamer any more."""
--- a/terndrift/platform/transport.py
+++ b/terndrift/platform/transport.py
@@ -23,7 +23,8 @@
 # and network delays are some ms.
 PARTIAL_MESSAGE_TIMEOUT_NS = SECOND // 2
 # A streamer with playbacks reports on its link at least once per interval of the settings. After silence for
-# this many intervals it is checked by a new connection, which does not come up if the machine has vanished.
+# this many intervals it is checked: by a new connection, which does not come up if the machine has vanished,
+# and by a message on the older ones, which are reset if the machine has returned with a new process.
 SILENT_INTERVALS = 1.25
 # Seconds after which a cancelled attempt counts as over if its streamer has not confirmed the cancel by
 # "release heard", which is optional. Connections are independent, so without the wait the next attempt could
@@ -129,7 +130,7 @@
         """Drops a playback that is over and, unless its streamer reported the end itself, tells the
         streamer."""
         peer = self.peers.get(streamer.id)
-        if peer and peer.playbacks.pop(playback.request.context.id, None):
+        if peer and peer.remove_playback(playback.request.context.id):
             self._send_to_peer(peer, m.encode_release(playback.request.context.id, m.OVER))
 
     # Called by the front.
@@ -157,7 +158,8 @@
 
     def track_playback(self, playback):
         """Adds a playback whose hand-over is complete to those of its streamer."""
-        self.peers[playback.streamer.id].playbacks[playback.request.context.id] = playback
+        peer = self.peers[playback.streamer.id]
+        peer.add_playback(playback.request.context.id, playback, self.runner.clock.now())
 
     def cancel_hand_over(self, streamer, id, ended_by_viewer=False):
         """Removes a registered hand-over; if its viewer has ended the playback, the streamer is told."""
@@ -186,7 +188,7 @@
             connection
             for peer in self.peers.values()
             for connection, attempts in peer.connections.items()
-            if connection.is_open() and not attempts and (len(peer.connections) > 1 or not peer.playbacks)
+            if connection.is_open() and not attempts and connection is not peer.evidence.witness()
         ]
         if not spare:
             raise ConnectionLimitError(f"{open_count} connections to streamers are open and in use")
@@ -214,7 +216,7 @@
             lambda source: self._connection_closed(peer, source),
             PARTIAL_MESSAGE_TIMEOUT_NS,
         )
-        peer.connections[connection], peer.last_message_at = {}, self.runner.clock.now()
+        peer.add_connection(connection, self.runner.clock.now())
         for data in peer.unsent_messages:
             connection.send(data)
         peer.unsent_messages.clear()
@@ -305,7 +307,7 @@
         self._maintain_connection(peer)
 
     def _connection_closed(self, peer, connection):
-        attempts = peer.connections.pop(connection, {})
+        attempts = peer.remove_connection(connection)
         if connection.close_reason.startswith("unreadable") or attempts:
             self.log.info(
                 "streamer's connection ended",
@@ -330,7 +332,8 @@
         """Opens a connection to a streamer that has playbacks or messages to receive.
 
         With `check` a new connection is opened even if there are others, as those may lead to a machine that
-        has vanished. If no connection comes up, the streamer's playbacks are cut.
+        has vanished. If no connection comes up, the streamer's playbacks are cut. If one does, the process
+        may still be another one: the older connections are probed.
         """
         try:
             for n in range(MAX_FAILED_CONNECTIONS):
@@ -348,14 +351,8 @@
                 except Unreached as error:
                     self.log.info("streamer not reached", streamer=peer.name, why=str(error))
                     continue
-                spare = [
-                    candidate
-                    for candidate, attempts in peer.connections.items()
-                    if candidate is not new_connection and not attempts
-                ]
-                # the oldest connections are the most likely to be dead
-                for connection in spare[: max(0, len(peer.connections) - MAX_CONNECTIONS_PER_STREAMER)]:
-                    connection.close("replaced by a new connection")
+                self._probe_connections(peer)
+                self._close_surplus_connections(peer, new_connection)
                 return
             if check or not peer.connections:
                 peer.unsent_messages.clear()
@@ -365,6 +362,28 @@
         finally:
             peer.reconnect_task = None
 
+    def _probe_connections(self, peer):
+        """Sends a message without a meaning on every connection to a streamer with playbacks.
+
+        The machine resets those that belong to a process that it does not run any more.
+        """
+        if peer.playbacks:
+            probe = encode_message(m.PROGRESS, next(iter(peer.playbacks)))
+            for connection in peer.open_connections():
+                connection.probe(probe)
+
+    def _close_surplus_connections(self, peer, new_connection):
+        """Closes unused connections beyond the limit, but none that shows that the playbacks go on."""
+        witness = peer.evidence.witness()
+        spare = [
+            connection
+            for connection, attempts in peer.connections.items()
+            if connection not in (new_connection, witness) and not attempts
+        ]
+        # the oldest connections are the most likely to be dead
+        for connection in spare[: max(0, len(peer.connections) - MAX_CONNECTIONS_PER_STREAMER)]:
+            connection.close("replaced by a new connection")
+
     def _cut(self, peer, reason):
         """Ends all playbacks and hand-overs at a streamer."""
         if peer.playbacks:
@@ -383,19 +402,57 @@
                     connection.close("unreadable: incomplete message timed out")
                 elif not attempts and self._is_stale(connection) and not (peer.playbacks or peer.hand_overs):
                     connection.close("idle")
-            if peer.playbacks and self.configuration.report_interval and peer.reconnect_task is None:
-                silence = now - peer.last_message_at
-                if (
-                    silence
-                    > SILENT_INTERVALS * self.configuration.report_interval
-                    + self.configuration.deployment.links.lag
-                ):
-                    self._maintain_connection(peer, check=True)
+            if self.configuration.report_interval and peer.evidence.silence(now) > self._max_silence():
+                self._check_silent(peer, now)
             if peer.delisted and peer.is_unused():
                 for connection in list(peer.connections):
                     connection.close("streamer removed from the list")
                 del self.peers[id]
 
+    def _max_silence(self):
+        """Returns how long (ns) a streamer with playbacks may be silent."""
+        return SILENT_INTERVALS * self.configuration.report_interval + self.configuration.deployment.links.lag
+
+    def _check_silent(self, peer, now):
+        """Ends the playbacks whose process is gone; at most once per `_max_silence` looks whether others are.
+
+        Called while the process of the oldest playback has been silent for too long.
+        """
+        self._end_lost_playbacks(peer, now)
+        max_silence = self._max_silence()
+        if peer.reconnect_task is not None or now - peer.checked_at <= max_silence:
+            return
+        peer.checked_at = now
+        self.log.info(
+            "silent streamer checked",
+            streamer=peer.name,
+            silent_ms=peer.evidence.silence(now) // MS,
+            connections=len(peer.connections),
+            playbacks=len(peer.playbacks),
+        )
+        if now - peer.evidence.heard_at() <= max_silence:
+            self._probe_connections(peer)
+        else:
+            self._maintain_connection(peer, check=True)
+
+    def _end_lost_playbacks(self, peer, now):
+        """Ends the playbacks of a process that is gone, and tells the one that runs now.
+
+        None are ended while nothing shows that the machine is there, or while it has said something that is
+        still to be read.
+        """
+        connections = peer.open_connections()
+        if not connections or any(connection.has_unread_input() for connection in connections):
+            return
+        lost = peer.evidence.lost_playbacks(now, self._max_silence())
+        if lost:
+            self.log.info(
+                "what played is cut", streamer=peer.name, why="process replaced", playbacks=len(lost)
+            )
+        for id in lost:
+            self._send_to_peer(peer, m.encode_release(id, m.OVER))
+            self._playback_over(peer, peer.playbacks[id], Ending.BROKEN, None)
+
     def send_final_releases(self):
         """Releases all attempts and playbacks at streamers with an open connection; called once, at shutdown.
 
@@ -431,7 +488,7 @@
     def _on_message(self, peer, connection, message):
         if self.closing or not connection.is_open():
             return
-        peer.last_message_at = self.runner.clock.now()
+        peer.evidence.message_received(connection, message.id)
         attempts = peer.connections.get(connection, {})
         if message.type == m.ANSWER:
             if attempt := attempts.get(message.id):
@@ -467,12 +524,12 @@
         del peer.connections[connection][message.id], self.attempts[attempt.playback]
         attempt.transition_to(AttemptState.OVER)
         attempt.session.description = message.parameters[m.DESCRIPTION]
-        peer.playbacks[message.id] = attempt.playback
+        peer.add_playback(message.id, attempt.playback, self.runner.clock.now())
         self.runner.run(self.runner.core.set_up_succeeded, attempt.playback, m.parse_load_report(message))
 
     def _playback_over(self, peer, playback, ending, report):
         self.log.debug("ended", streamer=peer.id, pb=playback.id, ending=ending.name, report=report)
-        peer.playbacks.pop(playback.request.context.id, None)
+        peer.remove_playback(playback.request.context.id)
         self.on_ended(playback, ending is Ending.CALLED_OFF)
         self.runner.run(self.runner.core.playback_ended, playback, ending, report)
 
--- a/tests/platform_testbed.py
+++ b/tests/platform_testbed.py
@@ -75,11 +75,12 @@
 
     `behaviour` selects its response to a set-up, see `_respond_to_set_up`. `received` lists the received
     messages, `connections` its connections, oldest first. A new `start` after `crash` reuses the port.
+    `stale_connections` belong to a process that has vanished: they are silent, and reset if anything is sent.
     """
 
     def __init__(self, name, cell, behaviour):
         self.name, self.cell, self.behaviour, self.received, self.connections = name, cell, behaviour, [], []
-        self.server, self.port = None, 0
+        self.server, self.port, self.stale_connections = None, 0, set()
 
     async def start(self):
         """Listens on a free port, or on the one that it had before."""
@@ -104,6 +105,9 @@
         self.connections.append(writer)
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
+                if writer in self.stale_connections:
+                    writer.transport.abort()
+                    return
                 buffer += data
                 for message in decode_messages(buffer):
                     self.received.append(message)
@@ -143,6 +147,15 @@
         """Sends bytes on the newest open connection."""
         next(writer for writer in reversed(self.connections) if not writer.is_closing()).write(data)
 
+    def note(self, id, name="link_use", value="0.5"):
+        """Sends a note about a playback."""
+        self.send(encode_message(m.NOTE, id, (m.NOTE_NAME, name), (m.NOTE_VALUE, value)))
+
+    def replace_process(self):
+        """The machine has vanished without a sign and is back with a new process, which plays nothing."""
+        self.stale_connections.update(self.connections)
+        self.connections.clear()
+
     async def crash(self):
         """Stops listening and resets all connections."""
         self.server.close()
