Take a streamer's silence, not each lost connection, for the sign of a new process

A note is about any one session of a controller, so after the loss of a connection it often says nothing of the older ones.

Change: a connection that comes up within 1.25 reports of the last sign of life leads to the same process; sessions handed over count as of one age; a close that nothing sent can have provoked is a sign of life; only silent connections are probed; a playback in doubt ends after 6.5 s of the 8 that are allowed. A playback of a replaced process still does not depend on what the new one says.

--- a/terndrift/platform/connection.py
+++ b/terndrift/platform/connection.py
@@ -20,6 +20,8 @@
 MAX_UNSENT_BYTES = 256 * 1024
 # ns within which a message must be complete once begun; misbehaving viewers must be disconnected within 3 s.
 PARTIAL_MESSAGE_TIMEOUT_NS = 2_000_000_000
+# ns within which a machine rejects a message that belongs to none of its connections.
+REJECTION_TIMEOUT_NS = 250_000_000
 
 
 class ConnectionState(Enum):
@@ -66,7 +68,7 @@
             False,
         )
         self.reader = MessageReader(clock.now(), partial_timeout)
-        self.last_sent_at = clock.now()
+        self.last_sent_at, self.last_probe_at = clock.now(), 0
         self.may_have_buffered_input = False  # a full-sized read may have left bytes in the stream's buffer
         stream.set_nodelay(True)
         self.task = asyncio.ensure_future(self._read())
@@ -116,7 +118,16 @@
         """Sends bytes that only test the connection; it does not count as used because of them."""
         last_sent_at = self.last_sent_at
         self.send(data)
-        self.last_sent_at = last_sent_at
+        self.last_sent_at, self.last_probe_at = last_sent_at, self.clock.now()
+
+    def was_closed_unprompted(self, now):
+        """Whether the peer closed the connection in order, and nothing had been sent to it shortly before.
+
+        The end of a connection that follows on a message may be its rejection.
+        """
+        if self.closed_locally or self.stream.error is not None:
+            return False
+        return now - max(self.last_sent_at, self.last_probe_at) > REJECTION_TIMEOUT_NS
 
     def close(self, reason):
         """Closes both directions immediately; queued bytes are lost. `reason` is for the log."""
--- a/terndrift/platform/peer.py
+++ b/terndrift/platform/peer.py
@@ -11,9 +11,9 @@
 
 
 class Peer:
-    """A streamer and the connections to it."""
+    """A streamer and the connections to it; its process takes at least `min_outage` ns to be replaced."""
 
-    def __init__(self, entry, name, address):
+    def __init__(self, entry, name, address, min_outage):
         self.id, self.started, self.name, self.address = entry.id, entry.started, name, address
         self.delisted = False  # no longer on the server list
         self.connections = {}  # Connection -> {playback ID: Attempt} of the attempts sent on it
@@ -22,7 +22,7 @@
         # playback ID -> callback that takes the current rung of a playback to be handed over
         self.hand_overs = {}
         self.unsent_messages = []  # bytes to send on the next connection
-        self.evidence = ProcessEvidence()  # which of the playbacks its process still serves
+        self.evidence = ProcessEvidence(min_outage)  # which of the playbacks its process still serves
         self.checked_at = 0  # when its silence was last checked (ns)
         self.reconnect_task = None  # the task that restores the connection, None if none runs
 
@@ -31,16 +31,23 @@
         self.connections[connection] = {}
         self.evidence.connection_opened(connection, now)
 
-    def remove_connection(self, connection):
+    def remove_connection(self, connection, now):
         """Removes a connection that has ended and returns the attempts that were sent on it."""
+        if connection.was_closed_unprompted(now):  # only a process that runs does so
+            self.evidence.process_spoke(connection, now)
         self.evidence.connection_closed(connection)
         return self.connections.pop(connection)
 
     def add_playback(self, id, playback, now):
-        """Adds a playback that plays there."""
+        """Adds a playback that was set up there."""
         self.playbacks[id] = playback
         self.evidence.playback_started(id, now)
 
+    def add_handed_over(self, id, playback, now):
+        """Adds a playback that was running there before it was handed over to this controller."""
+        self.playbacks[id] = playback
+        self.evidence.playback_handed_over(id, now)
+
     def remove_playback(self, id):
         """Removes a playback that is over and returns it, None if it is unknown."""
         self.evidence.playback_ended(id)
--- a/terndrift/platform/transport.py
+++ b/terndrift/platform/transport.py
@@ -24,8 +24,12 @@
 PARTIAL_MESSAGE_TIMEOUT_NS = SECOND // 2
 # A streamer with playbacks reports on its link at least once per interval of the settings. After silence for
 # this many intervals it is checked: by a new connection, which does not come up if the machine has vanished,
-# and by a message on the older ones, which are reset if the machine has returned with a new process.
+# and by a message on the silent ones, which are reset if the machine has returned with a new process. A
+# streamer that was heard within this many intervals can't have been replaced since: a restart takes longer.
 SILENT_INTERVALS = 1.25
+# ns after which a playback whose process seems to be replaced counts as over, unless the streamer reports on
+# it. What is over must be released within 8 s (PROTOCOL).
+REPLACED_TIMEOUT_NS = 6_500 * MS
 # Seconds after which a cancelled attempt counts as over if its streamer has not confirmed the cancel by
 # "release heard", which is optional. Connections are independent, so without the wait the next attempt could
 # overtake the cancel, and two attempts of one playback would be outstanding at once (seen under load). The
@@ -65,6 +69,7 @@
         self.cancelled = {}  # playback ID -> cancelled Attempt that may still be outstanding
         self.start_queue = []  # attempts to start in the next turn of the event loop
         self.on_ended, self.closing = lambda playback, by_viewer: None, False
+        self.replaced_timeout_ns = REPLACED_TIMEOUT_NS
         keepalive = configuration.keepalive
         # A set-up sent now arrives within the connect timeout. A connection is in use only as long as that
         # and one check for idle connections end before the streamer's own idle timeout.
@@ -79,7 +84,8 @@
         if peer is None:
             if delisted:
                 return
-            peer = self.peers[entry.id] = Peer(entry, name, address)
+            min_outage = SILENT_INTERVALS * self.configuration.report_interval
+            peer = self.peers[entry.id] = Peer(entry, name, address, min_outage)
         if entry.started != peer.started or address and address != peer.address and not delisted:
             # restarted or moved: earlier playbacks are over, and its connections belong to the old process
             self._cut(peer, "streamer restarted")
@@ -159,7 +165,7 @@
     def track_playback(self, playback):
         """Adds a playback whose hand-over is complete to those of its streamer."""
         peer = self.peers[playback.streamer.id]
-        peer.add_playback(playback.request.context.id, playback, self.runner.clock.now())
+        peer.add_handed_over(playback.request.context.id, playback, self.runner.clock.now())
 
     def cancel_hand_over(self, streamer, id, ended_by_viewer=False):
         """Removes a registered hand-over; if its viewer has ended the playback, the streamer is told."""
@@ -307,7 +313,7 @@
         self._maintain_connection(peer)
 
     def _connection_closed(self, peer, connection):
-        attempts = peer.remove_connection(connection)
+        attempts = peer.remove_connection(connection, self.runner.clock.now())
         if connection.close_reason.startswith("unreadable") or attempts:
             self.log.info(
                 "streamer's connection ended",
@@ -333,7 +339,7 @@
 
         With `check` a new connection is opened even if there are others, as those may lead to a machine that
         has vanished. If no connection comes up, the streamer's playbacks are cut. If one does, the process
-        may still be another one: the older connections are probed.
+        may still be another one: connections that have been silent for too long are probed.
         """
         try:
             for n in range(MAX_FAILED_CONNECTIONS):
@@ -351,7 +357,7 @@
                 except Unreached as error:
                     self.log.info("streamer not reached", streamer=peer.name, why=str(error))
                     continue
-                self._probe_connections(peer)
+                self._probe_silent_connections(peer)
                 self._close_surplus_connections(peer, new_connection)
                 return
             if check or not peer.connections:
@@ -362,14 +368,17 @@
         finally:
             peer.reconnect_task = None
 
-    def _probe_connections(self, peer):
-        """Sends a message without a meaning on every connection to a streamer with playbacks.
+    def _probe_silent_connections(self, peer):
+        """Sends a message without a meaning on the silent connections to a streamer with playbacks.
 
         The machine resets those that belong to a process that it does not run any more.
         """
-        if peer.playbacks:
-            probe = encode_message(m.PROGRESS, next(iter(peer.playbacks)))
-            for connection in peer.open_connections():
+        if not peer.playbacks:
+            return
+        probe = encode_message(m.PROGRESS, next(iter(peer.playbacks)))
+        silent_since = self.runner.clock.now() - self._max_silence()
+        for connection in peer.open_connections():
+            if connection.reader.last_received_at < silent_since:
                 connection.probe(probe)
 
     def _close_surplus_connections(self, peer, new_connection):
@@ -431,7 +440,7 @@
             playbacks=len(peer.playbacks),
         )
         if now - peer.evidence.heard_at() <= max_silence:
-            self._probe_connections(peer)
+            self._probe_silent_connections(peer)
         else:
             self._maintain_connection(peer, check=True)
 
@@ -444,7 +453,8 @@
         connections = peer.open_connections()
         if not connections or any(connection.has_unread_input() for connection in connections):
             return
-        lost = peer.evidence.lost_playbacks(now, self._max_silence())
+        timeout = max(self.replaced_timeout_ns, self._max_silence())
+        lost = peer.evidence.lost_playbacks(now, timeout)
         if lost:
             self.log.info(
                 "what played is cut", streamer=peer.name, why="process replaced", playbacks=len(lost)
@@ -488,7 +498,7 @@
     def _on_message(self, peer, connection, message):
         if self.closing or not connection.is_open():
             return
-        peer.evidence.message_received(connection, message.id)
+        peer.evidence.process_spoke(connection, self.runner.clock.now(), message.id)
         attempts = peer.connections.get(connection, {})
         if message.type == m.ANSWER:
             if attempt := attempts.get(message.id):
