--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -59,7 +59,7 @@
 
     def parts(self):
         return {
-            n: c.leases.part(self.simulated_fleet.now, "extra")
+            n: c.leases.allowed_rate(self.simulated_fleet.now, "extra")
             for n, c in self.simulated_fleet.controllers.items()
         }
 
--- a/terndrift/fleet/leases.py
+++ b/terndrift/fleet/leases.py
@@ -34,7 +34,7 @@
 SECOND = 1000 * NS_PER_MS
 # The lease is short, as the part of a dead holder is lost to the others until it expires. It is requested
 # four times in that time, so that two lost datagrams in a row have no effect.
-LEASE_NS, ASK = 2 * SECOND, SECOND // 2
+LEASE_NS, REQUEST_INTERVAL_NS = 2 * SECOND, SECOND // 2
 # Of the limit: a fifth leaves most of it to controllers with demand, and a controller that is cut off can
 # still act.
 GUARANTEED_SHARE = 0.2
@@ -55,7 +55,7 @@
     for n, (name, demand) in enumerate(sorted(demands.items(), key=lambda x: (x[1], x[0]))):
         shares[name] = max(0.0, min(demand, remaining / (len(demands) - n)))
         remaining -= shares[name]
-    return {name: part + remaining / len(demands) for name, part in shares.items()}
+    return {name: rate + remaining / len(demands) for name, rate in shares.items()}
 
 
 class LeaseTable:
@@ -66,7 +66,7 @@
 
     def __init__(self, limits):
         self.pools = {kind: (1 - GUARANTEED_SHARE) * limit for kind, limit in limits.items() if limit}
-        self.granted = {kind: {} for kind in self.pools}  # kind -> name -> deque of (part, until)
+        self.granted = {kind: {} for kind in self.pools}  # kind -> name -> deque of (rate, until)
         self.demands = {kind: {} for kind in self.pools}  # kind -> name -> (demand, when requested)
 
     def grant(self, now, name, demands):
@@ -74,7 +74,7 @@
 
         Unknown kinds and demands that are not finite or are negative are left out.
         """
-        parts = {}
+        rates = {}
         for kind, demand in demands.items():
             if kind not in self.pools or not 0 <= demand < float("inf"):
                 continue
@@ -82,13 +82,13 @@
                 n: x for n, x in self.demands[kind].items() if now - x[1] < LEASE_NS
             }
             recent[name] = min(demand, self.pools[kind]), now
-            part = max_min_shares(self.pools[kind], {n: x[0] for n, x in recent.items()})[name]
-            part = max(0.0, min(part, self.pools[kind] - self.granted_sum(now, kind, name)))
+            rate = max_min_shares(self.pools[kind], {n: x[0] for n, x in recent.items()})[name]
+            rate = max(0.0, min(rate, self.pools[kind] - self.granted_sum(now, kind, name)))
             leases = self.granted[kind].setdefault(name, deque())
             # A smaller lease does not replace a larger one before it: the larger may be the one that arrived.
-            leases.append((part, now + int(LEASE_NS * (1 + MAX_CLOCK_DRIFT))))
-            parts[kind] = part
-        return parts
+            leases.append((rate, now + int(LEASE_NS * (1 + MAX_CLOCK_DRIFT))))
+            rates[kind] = rate
+        return rates
 
     def granted_sum(self, now, kind, excluded=None):
         """The most that may be in force of a kind, without the holder `excluded`; drops expired leases."""
@@ -99,7 +99,7 @@
             if not leases:
                 del table[name]
             elif name != excluded:
-                total += max(part for part, _ in leases)
+                total += max(rate for rate, _ in leases)
         return total
 
 
@@ -122,7 +122,7 @@
             kind: limit * (GUARANTEED_SHARE if has_voters else 1.0) / controller_count
             for kind, limit in self.limits.items()
         }
-        self.held = {}  # kind -> (part, until)
+        self.held = {}  # kind -> (rate, until)
         self.buckets = {kind: TokenBucket(now) for kind in self.limits}
         self.wanted = dict.fromkeys(self.limits, 0.0)
         self.outbox, self.request_at, self.requested_at = [], now, 0
@@ -133,12 +133,12 @@
         """When `tick` is due; None where no leases are requested."""
         return self.request_at if self.has_voters and self.limits else None
 
-    def part(self, now, kind):
+    def allowed_rate(self, now, kind):
         """The rate per second that this controller may use now; None: there is no limit."""
         if kind not in self.limits:
             return None
-        part, until = self.held.get(kind, (0.0, 0))
-        return self.guaranteed[kind] + (part if now < until else 0.0)
+        rate, until = self.held.get(kind, (0.0, 0))
+        return self.guaranteed[kind] + (rate if now < until else 0.0)
 
     def set_demand(self, kind, rate):
         """Sets the demand from `rate`, the recent use and what had to wait, per second."""
@@ -147,29 +147,30 @@
 
     def available(self, now, kind):
         """How many actions of a kind are allowed at this moment; None: there is no limit."""
-        part = self.part(now, kind)
-        return None if part is None else self.buckets[kind].available(now, part)
+        rate = self.allowed_rate(now, kind)
+        return None if rate is None else self.buckets[kind].available(now, rate)
 
     def consume(self, now, kind):
         """Counts one action of a kind; does not check that it is allowed."""
-        if (part := self.part(now, kind)) is not None:
-            self.buckets[kind].consume(now, part)
+        if (rate := self.allowed_rate(now, kind)) is not None:
+            self.buckets[kind].consume(now, rate)
 
-    def tick(self, now, to, sure):
+    def tick(self, now, to, has_quorum):
         """Requests leases when due.
 
-        `to`: the leader or a member that may know it; None: none is known. `sure`: as for `asked`.
+        `to`: the leader or a member that may know it; None: none is known. `has_quorum`: as for
+        `handle_request`.
         """
         if now < self.request_at or not (self.has_voters and self.limits):
             return
-        self.request_at = now + ASK
+        self.request_at = now + REQUEST_INTERVAL_NS
         request = LeaseRequest(self.own_name, now, {k: round(v, 3) for k, v in self.wanted.items()})
         if self.leader_term:
-            self.asked(now, request, sure, None)
+            self.handle_request(now, request, has_quorum, None)
         elif to is not None:
             self.outbox.append((to, request))
 
-    def led(self, now, mark):
+    def leadership_changed(self, now, mark):
         """Called after each event with False, or with a mark of the term in which this controller leads.
 
         A new term begins with an empty table.
@@ -178,17 +179,17 @@
             self.leading_since, self.table = now, LeaseTable(self.limits)
         self.leader_term = mark
 
-    def asked(self, now, m, sure, leader):
+    def handle_request(self, now, m, has_quorum, leader):
         """Handles an `LeaseRequest`: grants where this controller leads, else forwards it to the leader.
 
-        `sure`: whether a quorum has answered this leader recently; `leader`: the leader's name where another
-        controller leads, or None.
+        `has_quorum`: whether a quorum has answered this leader recently; `leader`: the leader's name where
+        another controller leads, or None.
         """
         if self.leader_term:
-            if sure and now - self.leading_since >= LEADER_WAIT_NS:
+            if has_quorum and now - self.leading_since >= LEADER_WAIT_NS:
                 answer = LeaseResponse(m.requested_at, self.table.grant(now, m.requester, m.wanted_rates))
                 if m.requester == self.own_name:
-                    self.answered(now, answer)
+                    self.handle_response(now, answer)
                 else:
                     self.outbox.append((m.requester, answer))
         elif leader not in (None, self.own_name) and m.hops < MAX_HOPS:
@@ -196,22 +197,22 @@
                 (leader, LeaseRequest(m.requester, m.requested_at, m.wanted_rates, m.hops + 1))
             )
 
-    def answered(self, now, m):
+    def handle_response(self, now, m):
         """Handles a `LeaseResponse`, which is valid from the time of the request; ignores older and expired
         ones."""
         if not now - LEASE_NS < m.requested_at <= now or m.requested_at < self.requested_at:
             return
         self.requested_at = m.requested_at
-        for kind, part in m.leased_rates.items():
-            if kind in self.limits and 0 <= part <= self.limits[kind]:
-                self.held[kind] = part, m.requested_at + LEASE_NS
+        for kind, rate in m.leased_rates.items():
+            if kind in self.limits and 0 <= rate <= self.limits[kind]:
+                self.held[kind] = rate, m.requested_at + LEASE_NS
 
     def report(self, now):
-        """Limit, part and demand of each kind, per second, for operators."""
+        """Limit, rate and demand of each kind, per second, for operators."""
         return {
             kind: {
                 "limit": limit,
-                "part": round(self.part(now, kind), 3),
+                "part": round(self.allowed_rate(now, kind), 3),
                 "wants": round(self.wanted[kind], 3),
             }
             for kind, limit in self.limits.items()
@@ -260,22 +261,22 @@
 
     def reserve(self, now, key):
         """Reserves one action for a key; returns its wait in ns, or None where it must not be performed."""
-        part = self.leases.part(now, self.kind)
-        if part is None:
+        rate = self.leases.allowed_rate(now, self.kind)
+        if rate is None:
             return 0
         self.requests.current(now)[key] += 1
         bucket = self.buckets.setdefault(key, TokenBucket(now))
-        wait = bucket.wait_time(now, part)
+        wait = bucket.wait_time(now, rate)
         if wait > self.max_wait:
             return None
-        bucket.consume(now, part)
+        bucket.consume(now, rate)
         return wait
 
     def update_demand(self, now):
         """Called periodically: the demand is that of the busiest key; drops full buckets of idle keys."""
         recent = sum(self.requests.recent(now), Counter())
         self.leases.set_demand(self.kind, max(recent.values(), default=0) / WINDOW_SECONDS)
-        part = self.leases.part(now, self.kind) or 0.0
+        rate = self.leases.allowed_rate(now, self.kind) or 0.0
         self.buckets = {
-            key: bucket for key, bucket in self.buckets.items() if bucket.wait_time(now, part) or recent[key]
+            key: bucket for key, bucket in self.buckets.items() if bucket.wait_time(now, rate) or recent[key]
         }
--- a/terndrift/fleet/member.py
+++ b/terndrift/fleet/member.py
@@ -9,7 +9,7 @@
 from terndrift.fleet import messages, planned_work, slow_start_shares
 from terndrift.fleet.catalogue_sync import CatalogueSync
 from terndrift.fleet.committed_state import CommittedLog
-from terndrift.fleet.leases import ASK, Leases
+from terndrift.fleet.leases import REQUEST_INTERVAL_NS, Leases
 from terndrift.fleet.load_reports import LoadReports
 from terndrift.fleet.membership import Membership, Standing
 from terndrift.fleet.messages import (
@@ -152,10 +152,10 @@
             self.load_reports.receive(now, sender, message)
         elif isinstance(message, LeaseRequest):
             if message.requester in self.configured_names:
-                self.leases.asked(now, message, self._leads_with_quorum(now), self.leader())
+                self.leases.handle_request(now, message, self._leads_with_quorum(now), self.leader())
         elif isinstance(message, LeaseResponse):
             if sender in self.voter_names:
-                self.leases.answered(now, message)
+                self.leases.handle_response(now, message)
         elif isinstance(message, CatalogueHeadRequest):
             self.catalogue_sync.handle_request(sender)
         elif isinstance(message, CatalogueHead):
@@ -182,9 +182,8 @@
         if (due_at := self.load_reports.next_tick_at()) is not None and now >= due_at:
             self._report_load(now)
         if (due_at := self.leases.next_tick_at()) is not None and now >= due_at:
-            self.leases.tick(
-                now, self._choose_voter(now, self.leader(), now // ASK), self._leads_with_quorum(now)
-            )
+            recipient = self._choose_voter(now, self.leader(), now // REQUEST_INTERVAL_NS)
+            self.leases.tick(now, recipient, self._leads_with_quorum(now))
         # After a start no member is known to be alive yet: all of the configuration are tried, some answer.
         candidates = self.membership.alive_names() or sorted(self.configured_names - {self.own_name})
         self.catalogue_sync.tick(now, candidates)
@@ -427,7 +426,8 @@
         self._track_epoch()
         if voter:
             voter.adopt_newer_epoch(now)
-            self.leases.led(now, voter.role is Role.LEADER and (committed_log.epoch, voter.persistent.term))
+            leads = voter.role is Role.LEADER
+            self.leases.leadership_changed(now, leads and (committed_log.epoch, voter.persistent.term))
             if (
                 voter.role is Role.LEADER
                 and planned_work.current_revision(committed_log.state) != self.led_work_rev
--- a/terndrift/fleet/model_checker.py
+++ b/terndrift/fleet/model_checker.py
@@ -99,8 +99,8 @@
             self._commit_up_to(now, durable_indexes[self.quorum_size() - 1])
         super()._advance_commit(now)
 
-    def _handle_append(self, now, sender, message):
-        super()._handle_append(now, sender, message)
+    def _handle_append_entries(self, now, sender, message):
+        super()._handle_append_entries(now, sender, message)
         last_index = message.prev_log_index + len(message.entries)
         if self.fault == "cut too far" and self.leader == sender and last_index < self.persistent.last_index:
             self._append_to_log(last_index, [])
@@ -159,7 +159,7 @@
                         tuple(sorted(voter.match_index.items())),
                         tuple(sorted(voter.next_index.items())),
                         tuple(sorted(voter.joining.items())),
-                        frozenset(voter.hello_answers),
+                        frozenset(voter.recovery_responses),
                         voter.nonce,
                         tuple(
                             sorted(
--- a/terndrift/fleet/raft.py
+++ b/terndrift/fleet/raft.py
@@ -189,7 +189,7 @@
         self.votes, self.role_started_at, self.may_vote_from = set(), 0, 0
         # Answers to RecoveryRequest by identity; the log position that this voter may have reached before it
         # restarted.
-        self.hello_answers, self.min_position = {}, (0, 0)
+        self.recovery_responses, self.min_position = {}, (0, 0)
         self.next_index, self.match_index = {}, {}  # identity -> log index
         # Number of records handed out in `pending_writes` so far; of each log record that is not durable yet,
         # (this number, index after which its entries start).
@@ -252,11 +252,11 @@
         if message.epoch != self.persistent.epoch:
             return  # another epoch; `Envelope` carries it, so that the side with the earlier one learns it
         if isinstance(message, RecoveryRequest):
-            return self._handle_hello(sender, message)
+            return self._handle_recovery_request(sender, message)
         if isinstance(message, RecoveryResponse):
-            return self._handle_seen(now, sender, message)
+            return self._handle_recovery_response(now, sender, message)
         if isinstance(message, AddVoterRequest):
-            return self._handle_let_in(now, sender, message)
+            return self._handle_add_voter_request(now, sender, message)
         if message.term > self.persistent.term and not (
             isinstance(message, RequestVote) and message.pre_vote
         ):
@@ -265,12 +265,12 @@
                 return None  # a voter back from a partition with a high term must not depose a working leader
             self._adopt_term(now, message.term)
         handler = {
-            RequestVote: self._handle_ask_vote,
-            VoteResponse: self._handle_vote,
-            AppendEntries: self._handle_append,
-            AppendResponse: self._handle_kept,
-            InstallSnapshot: self._handle_base,
-            TimeoutNow: self._handle_lead,
+            RequestVote: self._handle_request_vote,
+            VoteResponse: self._handle_vote_response,
+            AppendEntries: self._handle_append_entries,
+            AppendResponse: self._handle_append_response,
+            InstallSnapshot: self._handle_install_snapshot,
+            TimeoutNow: self._handle_timeout_now,
         }.get(type(message))
         return handler(now, sender, message) if handler else None
 
@@ -455,7 +455,7 @@
 
     # Recovery after a start, and membership changes.
 
-    def _handle_hello(self, sender, message):
+    def _handle_recovery_request(self, sender, message):
         term, last = self.persistent.last_position()
         confirmed = max(
             self.persistent.confirmed.get(message.voter_id, 0), self.match_index.get(message.voter_id, 0)
@@ -469,25 +469,25 @@
             )
         )
 
-    def _handle_seen(self, now, sender, message):
+    def _handle_recovery_response(self, now, sender, message):
         if self.role is not Role.RECOVERING or message.nonce != self.nonce:
             return
         if message.confirmed_index > self.persistent.last_index:  # entries that this voter confirmed are lost
             self._take_new_identity()
             return self._change_role(now, Role.NON_VOTER)
-        self.hello_answers[message.voter_id] = message
+        self.recovery_responses[message.voter_id] = message
         # Counts by the voters of the most up-to-date log: this voter's own log may predate a membership
         # change.
         voters = max(
             [(self.persistent.last_position(), self.persistent.voters())]
             + [
                 ((answer.last_log_term, answer.last_log_index), answer.voters)
-                for answer in self.hello_answers.values()
+                for answer in self.recovery_responses.values()
             ],
             key=lambda log: log[0],
         )[1]
         voter_answers = [
-            answer for identity, answer in self.hello_answers.items() if identity in voters.values()
+            answer for identity, answer in self.recovery_responses.items() if identity in voters.values()
         ]
         if self.identity not in voters.values():
             self._take_new_identity()
@@ -503,7 +503,7 @@
             self._change_role(now, Role.FOLLOWER)
             self.election_at = max(self.election_at, self.may_vote_from)
 
-    def _handle_let_in(self, now, sender, message):
+    def _handle_add_voter_request(self, now, sender, message):
         if self.role is not Role.LEADER or sender != message.name or sender not in self.voter_names:
             return
         voters = self.persistent.voters()
@@ -574,7 +574,7 @@
                 )
         self._count_votes(now)
 
-    def _handle_ask_vote(self, now, sender, message):
+    def _handle_request_vote(self, now, sender, message):
         if self.role in (Role.NON_VOTER, Role.RECOVERING):
             return
         requested_term = message.term + 1 if message.pre_vote else message.term
@@ -598,7 +598,7 @@
                 self._reset_election_timer(now)
         self.outbox.append((sender, self._message(VoteResponse, granted, message.pre_vote, requested_term)))
 
-    def _handle_vote(self, now, sender, message):
+    def _handle_vote_response(self, now, sender, message):
         expected_role = Role.PRE_CANDIDATE if message.pre_vote else Role.CANDIDATE
         requested_term = self.persistent.term + 1 if message.pre_vote else self.persistent.term
         if (
@@ -621,7 +621,7 @@
         elif self.role is Role.CANDIDATE:
             self._change_role(now, Role.LEADER)
 
-    def _handle_lead(self, now, sender, message):
+    def _handle_timeout_now(self, now, sender, message):
         if (
             message.term == self.persistent.term
             and sender == self.leader
@@ -710,7 +710,7 @@
         self._reset_election_timer(now)
         return self.role is not Role.RECOVERING
 
-    def _handle_append(self, now, sender, message):
+    def _handle_append_entries(self, now, sender, message):
         if not self._accept_leader(now, sender, message):
             return
         local_term = self.persistent.term_at(message.prev_log_index)
@@ -744,7 +744,7 @@
         self._apply_membership(now)
         self.outbox.append((sender, self._message(AppendResponse, True, last_index, message.request_round)))
 
-    def _handle_base(self, now, sender, message):
+    def _handle_install_snapshot(self, now, sender, message):
         if not self._accept_leader(now, sender, message):
             return
         if (
@@ -767,7 +767,7 @@
         elif self.role is Role.FOLLOWER and not is_voter and self.persistent.voters():
             self._change_role(now, Role.NON_VOTER)
 
-    def _handle_kept(self, now, sender, message):
+    def _handle_append_response(self, now, sender, message):
         if self.role is not Role.LEADER or message.term != self.persistent.term:
             return
         self.answered_at[message.voter_id] = max(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -65,7 +65,7 @@
         A stopped one is left out: it performs no actions, though its lease may still be valid by its clock.
         """
         return {
-            n: c.leases.part(self.simulated_fleet.now, "extra")
+            n: c.leases.allowed_rate(self.simulated_fleet.now, "extra")
             for n, c in self.simulated_fleet.controllers.items()
             if n not in self.simulated_fleet.paused
         }
@@ -176,20 +176,25 @@
 
 def test_leases_that_are_expired_beyond_the_limit_or_older_than_the_current_one_are_ignored():
     leases, now = Leases("a", {"extra": 10.0}, 2, True, 1000 * SECOND), 1000 * SECOND
-    leases.answered(now, LeaseResponse(now - LEASE_NS - 1, {"extra": 5.0}))
-    leases.answered(now, LeaseResponse(now + 1, {"extra": 5.0}))  # requested in the future
-    leases.answered(now, LeaseResponse(now, {"extra": 500.0, "what": 1.0}))
-    assert leases.part(now, "extra") == 1.0 and leases.part(now, "calls") is None
-    leases.answered(now, LeaseResponse(now - SECOND, {"extra": 5.0}))
-    assert leases.part(now, "extra") == 1.0, "requested before the current lease"
-    leases.answered(now + 1, LeaseResponse(now + 1, {"extra": 5.0}))
-    assert leases.part(now + 1, "extra") == 6.0 and leases.part(now + 1 + LEASE_NS, "extra") == 1.0
+    leases.handle_response(now, LeaseResponse(now - LEASE_NS - 1, {"extra": 5.0}))
+    leases.handle_response(now, LeaseResponse(now + 1, {"extra": 5.0}))  # requested in the future
+    leases.handle_response(now, LeaseResponse(now, {"extra": 500.0, "what": 1.0}))
+    assert leases.allowed_rate(now, "extra") == 1.0 and leases.allowed_rate(now, "calls") is None
+    leases.handle_response(now, LeaseResponse(now - SECOND, {"extra": 5.0}))
+    assert leases.allowed_rate(now, "extra") == 1.0, "requested before the current lease"
+    leases.handle_response(now + 1, LeaseResponse(now + 1, {"extra": 5.0}))
+    assert (
+        leases.allowed_rate(now + 1, "extra") == 6.0
+        and leases.allowed_rate(now + 1 + LEASE_NS, "extra") == 1.0
+    )
 
 
 def test_without_voters_each_controller_has_a_permanent_even_part():
     leases = Leases("a", {"extra": 12.0, "calls": 0.0}, 4, False, 0)
     assert (
-        leases.part(5, "extra") == 3.0 and leases.part(5, "calls") is None and leases.next_tick_at() is None
+        leases.allowed_rate(5, "extra") == 3.0
+        and leases.allowed_rate(5, "calls") is None
+        and leases.next_tick_at() is None
     )
 
 
