A playback handed over is not ended for want of a report about it

Cause: playbacks that are handed over count as of before the start, and no connection vouched for them until a report about one of them came.

Change: the connections that are open when a playback is handed over vouch for it.

--- a/terndrift/platform/process_evidence.py
+++ b/terndrift/platform/process_evidence.py
@@ -59,8 +59,13 @@
         self.playbacks[id] = _TrackedPlayback(now, now)
 
     def playback_handed_over(self, id, now):
-        """Adds a playback that was running before this controller started, like all that are handed over."""
+        """Adds a playback that was running before this controller started, like all that are handed over.
+
+        It is taken to be still there: the connections that are open now vouch for it.
+        """
         self.playbacks = {id: _TrackedPlayback(BEFORE_START, now), **self.playbacks}
+        for connection in self.connections.values():
+            connection.process_since = BEFORE_START
 
     def playback_ended(self, id):
         """Removes a playback, if it is known."""
--- a/tests/test_replaced_streamer.py
+++ b/tests/test_replaced_streamer.py
@@ -89,6 +89,21 @@
     await assert_released(viewer, id, 1)
 
 
+@in_testbed(streamers=1, reports_every_ms=200)
+async def test_playback_handed_over_goes_on_while_its_streamer_reports_on_later_ones(testbed):
+    # Guards against: a playback that was handed over counted as lost for want of a report about it.
+    shorten_timeout(testbed)
+    viewer, later_viewer, streamer = await testbed.viewer(), await testbed.viewer(), testbed.streamers[0]
+    id = viewer.send_set_up(figures=f"home:0;copies:4;top:2;at:{streamer.name}")
+    await wait_until(lambda: streamer.connections)
+    await wait_until(lambda: id in testbed.service.front.sessions)  # at its floor: the rung is never told
+    later_id, _ = await testbed.set_up_playback(later_viewer)
+    for _ in range(30):
+        streamer.note(later_id)
+        await asyncio.sleep(0.05)
+    assert id in testbed.service.front.sessions
+
+
 @in_testbed(streamers=1, reports_every_ms=200)
 async def test_playback_goes_on_after_a_reset_once_its_streamer_reports_on_it(testbed):
     # Guards against: the loss of every connection to a streamer ending playbacks that stand there.
