--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -73,7 +73,8 @@
 
     def __init__(self, streamer, id, connection, parameters):
         self.streamer, self.id, self.connection, self.parameters = streamer, id, connection, parameters
-        self.state, self.stood, self.why, self.over_at = "setup", False, None, None
+        self.state, self.stood, self.why = "setup", False, None
+        self.came_at, self.over_at = time.monotonic(), None
 
 
 class Streamer:
@@ -496,7 +497,7 @@
                 "free_resends": 5,
                 "repeat_ratio": 0.1,
                 "budget_span_ns": 10_000 * MS,
-                "drain_grace_ns": 250 * MS,
+                "drain_grace_ns": 1000 * MS,
             },
         }
         self.changes(value)
