--- a/terndrift/platform/connection.py
+++ b/terndrift/platform/connection.py
@@ -69,6 +69,7 @@
         )
         self.reader = MessageReader(clock.now(), partial_timeout)
         self.last_sent_at, self.last_probe_at = clock.now(), 0
+        self.closed_unused = False  # closed by `close_unused`: nothing that the peer sent before was lost
         self.may_have_buffered_input = False  # a full-sized read may have left bytes in the stream's buffer
         stream.set_nodelay(True)
         self.task = asyncio.ensure_future(self._read())
@@ -92,6 +93,10 @@
         poll.register(self.stream.socket, select.POLLIN)
         return bool(poll.poll(0))
 
+    def has_pending_input(self):
+        """Whether received bytes are still to be read, or belong to a message that is not complete yet."""
+        return self.reader.partial_since is not None or self.has_unread_input()
+
     def has_unsent_output(self):
         """Whether written bytes are still queued in this process."""
         return not self.stream.closed() and self.stream.writing()
@@ -135,6 +140,14 @@
             self.close_reason, self.closed_locally = reason, True
             self.stream.close()
 
+    def close_unused(self, reason):
+        """Closes a connection that is not needed; returns False and leaves it open if input is pending."""
+        if self.has_pending_input():
+            return False
+        self.closed_unused = True
+        self.close(reason)
+        return True
+
     def shut_down_sending(self, reason):
         """Shuts down sending and discards received data until the peer closes too.
 
--- a/terndrift/platform/peer.py
+++ b/terndrift/platform/peer.py
@@ -25,19 +25,33 @@
         self.evidence = ProcessEvidence(min_outage)  # which of the playbacks its process still serves
         self.checked_at = 0  # when its silence was last checked (ns)
         self.reconnect_task = None  # the task that restores the connection, None if none runs
+        # Connections that the controller closed though the streamer may have sent something on them that was
+        # not read, and how many of them had been closed when the newest connection was begun.
+        self.input_losses, self.recovered_losses = 0, 0
 
-    def add_connection(self, connection, now):
-        """Adds a connection that has just come up."""
+    def add_connection(self, connection, now, input_losses):
+        """Adds a connection that has just come up; `input_losses` is the count when it was begun."""
         self.connections[connection] = {}
+        self.recovered_losses = max(self.recovered_losses, input_losses)
         self.evidence.connection_opened(connection, now)
 
     def remove_connection(self, connection, now):
         """Removes a connection that has ended and returns the attempts that were sent on it."""
         if connection.was_closed_unprompted(now):  # only a process that runs does so
             self.evidence.process_spoke(connection, now)
+        if connection.closed_locally and not connection.closed_unused:
+            self.input_losses += 1
         self.evidence.connection_closed(connection)
         return self.connections.pop(connection)
 
+    def may_have_missed_release(self):
+        """Whether the release of something that is over may have been lost with a closed connection.
+
+        The streamer sends releases again on the next connection opened, so this ends with a connection that
+        was begun after the loss.
+        """
+        return bool(self.playbacks or self.hand_overs) and self.recovered_losses < self.input_losses
+
     def add_playback(self, id, playback, now):
         """Adds a playback that was set up there."""
         self.playbacks[id] = playback
--- a/terndrift/platform/transport.py
+++ b/terndrift/platform/transport.py
@@ -198,12 +198,14 @@
         ]
         if not spare:
             raise ConnectionLimitError(f"{open_count} connections to streamers are open and in use")
-        min(spare, key=Connection.idle_since).close("closed in favour of a new connection")
+        spare.sort(key=Connection.idle_since)
+        if not any(connection.close_unused("closed in favour of a new connection") for connection in spare):
+            raise ConnectionLimitError(f"{open_count} connections to streamers have input to read")
 
     async def _open(self, peer):
         """Returns a new connection to a streamer; raises Unreached."""
         self._ensure_capacity()
-        listed_as = peer.address, peer.started
+        listed_as, input_losses = (peer.address, peer.started), peer.input_losses
         peer.pending_connects += 1
         try:
             stream = new_stream()
@@ -222,7 +224,7 @@
             lambda source: self._connection_closed(peer, source),
             PARTIAL_MESSAGE_TIMEOUT_NS,
         )
-        peer.add_connection(connection, self.runner.clock.now())
+        peer.add_connection(connection, self.runner.clock.now(), input_losses)
         for data in peer.unsent_messages:
             connection.send(data)
         peer.unsent_messages.clear()
@@ -331,7 +333,9 @@
             self._maintain_connection(peer, check=not connection.closed_locally)
 
     def _maintain_connection(self, peer, check=False):
-        if not self.closing and peer.reconnect_task is None and (check or not peer.open_connections()):
+        if self.closing or peer.reconnect_task is not None:
+            return
+        if check or peer.may_have_missed_release() or not peer.open_connections():
             peer.reconnect_task = asyncio.ensure_future(self._reconnect(peer, check))
 
     async def _reconnect(self, peer, check):
@@ -340,6 +344,9 @@
         With `check` a new connection is opened even if there are others, as those may lead to a machine that
         has vanished. If no connection comes up, the streamer's playbacks are cut. If one does, the process
         may still be another one: connections that have been silent for too long are probed.
+
+        After a close that may have lost a release, a new connection is opened beside others too. If none
+        comes up, `enforce_timeouts` tries again, and nothing is cut while another connection is open.
         """
         try:
             for n in range(MAX_FAILED_CONNECTIONS):
@@ -347,7 +354,7 @@
                     break
                 if n:
                     await asyncio.sleep(RECONNECT_DELAY_S)
-                if not check and peer.open_connections():
+                if not check and not peer.may_have_missed_release() and peer.open_connections():
                     return
                 try:
                     new_connection = await self._open(peer)
@@ -391,7 +398,7 @@
         ]
         # the oldest connections are the most likely to be dead
         for connection in spare[: max(0, len(peer.connections) - MAX_CONNECTIONS_PER_STREAMER)]:
-            connection.close("replaced by a new connection")
+            connection.close_unused("replaced by a new connection")
 
     def _cut(self, peer, reason):
         """Ends all playbacks and hand-overs at a streamer."""
@@ -411,6 +418,8 @@
                     connection.close("unreadable: incomplete message timed out")
                 elif not attempts and self._is_stale(connection) and not (peer.playbacks or peer.hand_overs):
                     connection.close("idle")
+            if peer.may_have_missed_release() and not peer.delisted:
+                self._maintain_connection(peer)
             if self.configuration.report_interval and peer.evidence.silence(now) > self._max_silence():
                 self._check_silent(peer, now)
             if peer.delisted and peer.is_unused():
--- a/tests/platform_testbed.py
+++ b/tests/platform_testbed.py
@@ -76,11 +76,13 @@
     `behaviour` selects its response to a set-up, see `_respond_to_set_up`. `received` lists the received
     messages, `connections` its connections, oldest first. A new `start` after `crash` reuses the port.
     `stale_connections` belong to a process that has vanished: they are silent, and reset if anything is sent.
+    `undelivered` lists the bytes that it sends on the next connection opened.
     """
 
     def __init__(self, name, cell, behaviour):
         self.name, self.cell, self.behaviour, self.received, self.connections = name, cell, behaviour, [], []
         self.server, self.port, self.stale_connections = None, 0, set()
+        self.undelivered = []
 
     async def start(self):
         """Listens on a free port, or on the one that it had before."""
@@ -103,6 +105,8 @@
     async def _serve(self, reader, writer):
         buffer = bytearray()
         self.connections.append(writer)
+        writer.writelines(self.undelivered)
+        self.undelivered.clear()
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
                 if writer in self.stale_connections:
