Messages directly before unreadable bytes are handled, not dropped with them

Seen: a release of a streamer or a viewer in one read with noise behind it was lost: the viewer was not told, or the playback went on.

Cause: decode_messages raised with the messages that it had decoded already; the connection closed without handing them on.

Change: MessageFramingError carries them, and the connection hands them on before it closes.

Measured: the three tests added failed before (a timeout each of the release; no attribute) and pass.

--- a/terndrift/platform/connection.py
+++ b/terndrift/platform/connection.py
@@ -175,6 +175,8 @@
         except StreamClosedError:
             pass
         except MessageFramingError as error:
+            if error.preceding:
+                self.on_messages(self, error.preceding)
             self.close(f"unreadable: {error}")
         finally:
             self.stream.close()
--- a/terndrift/platform/message.py
+++ b/terndrift/platform/message.py
@@ -39,7 +39,14 @@
 
 
 class MessageFramingError(Exception):
-    """The bytes are not a valid message, so the start of the next message can't be found either."""
+    """The bytes are not a valid message, so the start of the next message can't be found either.
+
+    `preceding` lists the complete messages that were decoded in front of those bytes.
+    """
+
+    def __init__(self, reason, preceding=()):
+        super().__init__(reason)
+        self.preceding = preceding
 
 
 class InvalidMessageError(Exception):
@@ -136,17 +143,21 @@
 def decode_messages(buffer):
     """Decodes the complete messages at the start of a bytearray and removes their bytes from it.
 
-    A partial message at the end stays in the buffer. Raises MessageFramingError.
+    A partial message at the end stays in the buffer. Raises MessageFramingError, with the messages decoded
+    before the invalid bytes; all bytes stay in the buffer then.
     """
     decoded, offset = [], 0
     while len(buffer) - offset >= 2:
         size = buffer[offset] << 8 | buffer[offset + 1]
         if not 9 <= size <= MAX_MESSAGE_BYTES:
-            raise MessageFramingError(f"invalid message length of {size} bytes")
+            raise MessageFramingError(f"invalid message length of {size} bytes", decoded)
         if len(buffer) - offset < size + 2:
             break
         _, type, id = HEADER.unpack_from(buffer, offset)
-        decoded.append(decode(type, id, memoryview(buffer)[offset + 11 : offset + 2 + size]))
+        try:
+            decoded.append(decode(type, id, memoryview(buffer)[offset + 11 : offset + 2 + size]))
+        except MessageFramingError as error:
+            raise MessageFramingError(str(error), decoded) from None
         offset += size + 2
     if offset:
         del buffer[:offset]
--- a/tests/test_lost_input.py
+++ b/tests/test_lost_input.py
@@ -13,7 +13,8 @@
 
 from terndrift.platform import message as m
 from terndrift.platform.descriptors import Descriptors
-from terndrift.platform.message import encode_message, encode_release
+from terndrift.platform.message import MessageFramingError, encode_message, encode_release
+from terndrift.platform.message_reader import MessageReader
 from terndrift.platform.transport import ConnectionLimitError
 
 # What is over is released towards its viewer within 8 s if the streamer could send no release (PROTOCOL).
@@ -106,3 +107,29 @@
         testbed.transport._ensure_capacity()  # in the same turn of the event loop: nothing is read yet
     assert len(peer.open_connections()) == 2
     await assert_released(viewer, id)
+
+
+@in_testbed(streamers=1, reports_every_ms=REPORT_INTERVAL_MS)
+async def test_release_of_a_streamer_directly_before_noise_is_handled(testbed):
+    # Guards against: messages decoded before unreadable bytes of the same read were dropped with them.
+    viewer, (streamer,) = await testbed.viewer(), testbed.streamers
+    id, _ = await testbed.set_up_playback(viewer)
+    streamer.send(encode_release(id, 16) + NOISE)
+    await assert_released(viewer, id)
+
+
+@in_testbed(streamers=1, reports_every_ms=REPORT_INTERVAL_MS)
+async def test_release_of_a_viewer_directly_before_noise_ends_the_playback(testbed):
+    # Guards against: messages decoded before unreadable bytes of the same read were dropped with them.
+    viewer, (streamer,) = await testbed.viewer(), testbed.streamers
+    id, _ = await testbed.set_up_playback(viewer)
+    viewer.send(encode_release(id, m.OVER) + NOISE)
+    await wait_until(lambda: streamer.received_ids(m.RELEASE) == [id])
+    assert not testbed.core.playbacks
+
+
+def test_reader_hands_out_the_messages_before_unreadable_bytes():
+    reader = MessageReader(0, partial_timeout=1)
+    with pytest.raises(MessageFramingError) as raised:
+        reader.receive(0, encode_message(m.TEST, b"12345678") * 2 + NOISE)
+    assert [message.type for message in raised.value.preceding] == [m.TEST, m.TEST]
