The decoder keeps no view of its buffer; test connections are closed

Seen: test_shutdown_waits_until_the_final_messages_are_sent failed now and then with BufferError where decode_messages cuts its buffer.

Cause: a garbage collection inside decode ran the finalizer of a StreamWriter that an earlier test left open; it raised, the traceback was kept, and with the frame of decode its memoryview of the buffer.

Change: decode_messages works on one copy of the bytes in the buffer, and takes slices of that. The testbed closes its viewers' connections and the stale ones of streamers.

Measured: the new test failed before with the same BufferError and passes.

--- a/terndrift/platform/message.py
+++ b/terndrift/platform/message.py
@@ -135,7 +135,7 @@
             raise MessageFramingError(f"parameter {code} extends past the end of its message")
         if code in parameters:
             raise MessageFramingError(f"parameter {code} is repeated")
-        parameters[code] = bytes(body[offset : offset + size])
+        parameters[code] = body[offset : offset + size]
         offset += size
     return Message(type, id, parameters)
 
@@ -147,15 +147,16 @@
     before the invalid bytes; all bytes stay in the buffer then.
     """
     decoded, offset = [], 0
-    while len(buffer) - offset >= 2:
-        size = buffer[offset] << 8 | buffer[offset + 1]
+    data = bytes(buffer)  # a view could outlive this call in a traceback, and then the buffer can't be cut
+    while len(data) - offset >= 2:
+        size = data[offset] << 8 | data[offset + 1]
         if not 9 <= size <= MAX_MESSAGE_BYTES:
             raise MessageFramingError(f"invalid message length of {size} bytes", decoded)
-        if len(buffer) - offset < size + 2:
+        if len(data) - offset < size + 2:
             break
-        _, type, id = HEADER.unpack_from(buffer, offset)
+        _, type, id = HEADER.unpack_from(data, offset)
         try:
-            decoded.append(decode(type, id, memoryview(buffer)[offset + 11 : offset + 2 + size]))
+            decoded.append(decode(type, id, data[offset + HEADER.size : offset + 2 + size]))
         except MessageFramingError as error:
             raise MessageFramingError(str(error), decoded) from None
         offset += size + 2
--- a/tests/platform_testbed.py
+++ b/tests/platform_testbed.py
@@ -163,9 +163,10 @@
     async def crash(self):
         """Stops listening and resets all connections."""
         self.server.close()
-        for writer in self.connections:
+        for writer in [*self.connections, *self.stale_connections]:
             writer.transport.abort()
         self.connections.clear()
+        self.stale_connections.clear()
         await self.server.wait_closed()
 
 
@@ -291,6 +292,7 @@
         self.directory, self.last_id = tempfile.TemporaryDirectory(), 0
         self.streamers = [Streamer(f"s-{n:08x}", n, behaviour) for n in range(streamers)]
         self.configuration_path, self.log_lines = os.path.join(self.directory.name, "config.json"), []
+        self.viewers = []
 
     def id(self):
         """Returns a new playback ID."""
@@ -337,6 +339,8 @@
 
     async def __aexit__(self, exception_type, *_):
         self.service.close()
+        for viewer in self.viewers:
+            viewer.writer.close()
         for streamer in self.streamers:
             await streamer.crash()
         self.feed.server.close()
@@ -345,7 +349,8 @@
 
     async def viewer(self):
         """Returns a new connected viewer."""
-        return await Viewer(self).connect()
+        self.viewers.append(await Viewer(self).connect())
+        return self.viewers[-1]
 
     async def set_up_playback(self, viewer, **set_up_parameters):
         """Sets up a playback and returns its ID and its streamer."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -112,6 +112,32 @@
         decode_messages(bytearray(data))
 
 
+class RaisesWhenCollected:
+    """Garbage in a reference cycle, whose finalizer raises."""
+
+    def __init__(self):
+        self.itself = self
+
+    def __del__(self):
+        raise RuntimeError("raised by a finalizer")
+
+
+def test_traceback_kept_from_inside_the_decoder_does_not_block_its_buffer(monkeypatch):
+    # Guards against: a finalizer raises within `decode`, its traceback is kept, and with it a view of the
+    # buffer, which then can't be cut (BufferError).
+    def collect_garbage(*arguments):
+        RaisesWhenCollected()
+        gc.collect()
+        return Message(*arguments)
+
+    kept = []
+    monkeypatch.setattr(sys, "unraisablehook", kept.append)
+    monkeypatch.setattr(m, "Message", collect_garbage)
+    buffer = bytearray(encode_message(m.TEST, ID, (m.CAUSE, b"\0")) * 2 + b"\0")
+    assert len(decode_messages(buffer)) == 2
+    assert kept and buffer == b"\0"
+
+
 def test_incomplete_message_is_overdue_until_it_is_completed():
     reader, data = MessageReader(0, SECOND), encode_message(m.TEST, ID, (m.CAUSE, b"\0"))
     assert reader.receive(0, data[:5]) == [] and not reader.is_overdue(SECOND)
