HTTP: heads of very many fields and bodies of very many chunks are refused

Seen: 300 clients, each with a whole head of 7,000 short fields (51 kB): one set-up of another client was never answered in 7 s, the process grew from 38 to 443 MB. 50 clients with bodies in chunks of one byte: others waited 2.8 s in the median, 33 of 35 were answered 503.

Cause: Tornado parses a whole head, some µs and 200 bytes a field, before its delegate hears of it; the limit on bytes was checked after that. A body in chunks costs two reads a chunk.

Change: a head of over 100 fields is answered 431 before it is parsed, a body of over 256 chunks 400; the connection closes. It holds for every listener on this server (front, admin, xDS over REST).

--- a/terndrift/http/server.py
+++ b/terndrift/http/server.py
@@ -35,10 +35,49 @@
 }
 
 
+# Fields of a request's head. Players send some thirty; to parse one field takes some µs and 200 bytes.
+MAX_HEADER_FIELDS = 100
+# Chunks of a request's body, each of which costs as much as a small request.
+MAX_BODY_CHUNKS = 256
 # A segment or so of a high rung: the system's own choice grows to megabytes for each slow client.
 SEND_BUFFER = 128 * 1024
 
 
+class RequestLimits:
+    """Limits of the requests on one stream, beside those on bytes that Tornado keeps.
+
+    Tornado parses a whole head before its delegate hears of it, and reads a body chunk by chunk, which holds
+    up all other connections if there are very many fields or chunks. Takes the place of the stream's methods
+    by which it reads these.
+    """
+
+    def __init__(self, stream):
+        self.stream, self.chunk_count = stream, 0
+        self.read_until_regex, self.read_until = stream.read_until_regex, stream.read_until
+        stream.read_until_regex, stream.read_until = self.read_head, self.read_chunk_size
+
+    async def read_head(self, regex, max_bytes=None):
+        """Returns the head of a request; answers 431 and closes the stream if it has too many fields."""
+        head = await self.read_until_regex(regex, max_bytes)
+        if head.count(b"\n") > MAX_HEADER_FIELDS + 2:  # with the request line and the empty line
+            await self.stream.write(
+                b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+                b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            )
+            self.stream.close()
+            raise StreamClosedError
+        self.chunk_count = 0
+        return head
+
+    def read_chunk_size(self, delimiter, max_bytes=None):
+        """Reads the line in front of a chunk; raises HTTPInputError, which is answered 400, if there are
+        too many."""
+        self.chunk_count += 1
+        if self.chunk_count > MAX_BODY_CHUNKS + 1:  # with the line that ends the body
+            raise httputil.HTTPInputError("too many chunks")
+        return self.read_until(delimiter, max_bytes)
+
+
 class Gone(Exception):
     """The client of an exchange has left, or takes nothing any more."""
 
@@ -203,6 +242,7 @@
         stream.set_nodelay(True)
         # what a client does not take waits at the streamer, not here
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        RequestLimits(stream)
         self.peers[stream] = address[0]
         wire = self.wires[stream] = HTTP1ServerConnection(stream, self.params)
         wire.start_serving(self)
--- /dev/null
+++ b/tests/test_request_limits.py
@@ -0,0 +1,59 @@
+"""What one HTTP client sends costs the other clients of the same process little."""
+
+import asyncio
+
+import pytest
+from testbed import in_testbed
+from tornado import httputil
+
+from terndrift.http.server import MAX_BODY_CHUNKS, MAX_HEADER_FIELDS
+
+
+async def response_to(testbed, data):
+    """Sends `data` on a new connection and returns what comes back until its end."""
+    sock = testbed.send_raw(data)
+    sock.setblocking(False)
+    loop, received = asyncio.get_running_loop(), b""
+    while part := await asyncio.wait_for(loop.sock_recv(sock, 65536), 5):
+        received += part
+    sock.close()
+    return received
+
+
+def request_with_fields(count):
+    """A request for a page that does not exist, with `count` fields in its head."""
+    fields = [b"Host: x\r\n", b"Connection: close\r\n", *(b"a%d: \r\n" % n for n in range(count - 2))]
+    return b"GET /nothing HTTP/1.1\r\n" + b"".join(fields) + b"\r\n"
+
+
+@pytest.mark.parametrize("count", [MAX_HEADER_FIELDS + 1, 5000])
+def test_head_of_very_many_fields_is_answered_431_without_parsing_them(count, monkeypatch):
+    # Guards against: hundreds of heads of 7,000 short fields held the event loop for seconds, at 1 MB each.
+    parsed = []
+
+    async def test(testbed):
+        parse_line = httputil.HTTPHeaders.parse_line
+
+        def counting_parse_line(headers, line, **options):
+            parsed.append(line)
+            parse_line(headers, line, **options)
+
+        monkeypatch.setattr(httputil.HTTPHeaders, "parse_line", counting_parse_line)
+        assert (await response_to(testbed, request_with_fields(count))).startswith(b"HTTP/1.1 431 ")
+        assert not parsed
+
+    in_testbed(test)()
+
+
+@in_testbed
+async def test_head_with_as_many_fields_as_allowed_is_served(testbed):
+    assert b" 404 " in await response_to(testbed, request_with_fields(MAX_HEADER_FIELDS))
+
+
+@in_testbed
+async def test_body_of_very_many_chunks_is_cut(testbed):
+    # Guards against: tens of clients with bodies in chunks of one byte delayed all others by seconds.
+    head = b"POST /nothing HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunk, end = b"1\r\nx\r\n", b"0\r\n\r\n"
+    assert b" 405 " in await response_to(testbed, head + chunk * MAX_BODY_CHUNKS + end)
+    assert b" 400 " in await response_to(testbed, head + chunk * (MAX_BODY_CHUNKS + 2) + end)
