One client's input no longer holds up all others: batches, and turns for much input

Seen: while one client sent tests at full speed on one connection, set-ups of others were answered after 6.9 s in the median, 15.7 s at most, and the process grew from 28 to 331 MB (releases of unknown ids: 1.3 s, 5.1 s, 9 of 39 failed).

Cause: a read of buffered bytes does not give the event loop a turn, so a connection whose input never ends was read for ever; 64 KB are some 4,400 messages, tens of ms. What was written meanwhile piled up, which is the memory.

Change: 2 KB are decoded and handled at once. A connection that used more than 2 ms, or 1% of the time for long, awaits a turn before each read, and one turn is given per iteration of the event loop, whatever the number of such connections.

--- a/terndrift/platform/connection.py
+++ b/terndrift/platform/connection.py
@@ -11,11 +11,14 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
+from terndrift.input_turns import InputAllowance
 from terndrift.platform.message import MessageFramingError
 from terndrift.platform.message_reader import MessageReader
 
-# Bytes per read; bounds the time that one read and its processing hold the event loop.
+# Bytes read from a socket at once.
 READ_CHUNK_BYTES = 64 * 1024
+# Bytes whose messages are handled at once; bounds the time that this holds the event loop.
+BATCH_BYTES = 2 * 1024
 # Bytes that may be queued for sending, about a thousand answers; a peer that stops reading is disconnected.
 MAX_UNSENT_BYTES = 256 * 1024
 # ns within which a message must be complete once begun; misbehaving viewers must be disconnected within 3 s.
@@ -56,11 +59,14 @@
     """Reads and writes messages on a stream, which it owns.
 
     Calls `on_messages(connection, messages)` with the messages of each read, and `on_closed(connection)`
-    exactly once. `partial_timeout` (ns) is passed to the message reader; whoever owns the connection has to
-    check it by calling `reader.is_overdue` regularly. Must be created within a running event loop.
+    exactly once. `turns` are the InputTurns that it shares with other connections. `partial_timeout` (ns) is
+    passed to the message reader; whoever owns the connection has to check it by calling `reader.is_overdue`
+    regularly. Must be created within a running event loop.
     """
 
-    def __init__(self, stream, clock, on_messages, on_closed, partial_timeout=PARTIAL_MESSAGE_TIMEOUT_NS):
+    def __init__(
+        self, stream, clock, turns, on_messages, on_closed, partial_timeout=PARTIAL_MESSAGE_TIMEOUT_NS
+    ):
         self.stream, self.clock, self.on_messages, self.on_closed = stream, clock, on_messages, on_closed
         self.state, self.close_reason, self.closed_locally = (
             ConnectionState.OPEN,
@@ -68,9 +74,10 @@
             False,
         )
         self.reader = MessageReader(clock.now(), partial_timeout)
+        self.turns, self.allowance = turns, InputAllowance(clock.now())
         self.last_sent_at, self.last_probe_at = clock.now(), 0
         self.closed_unused = False  # closed by `close_unused`: nothing that the peer sent before was lost
-        self.may_have_buffered_input = False  # a full-sized read may have left bytes in the stream's buffer
+        self.may_have_buffered_input = False  # a full batch may have left bytes in the stream's buffer
         stream.set_nodelay(True)
         self.task = asyncio.ensure_future(self._read())
 
@@ -163,15 +170,20 @@
         except OSError:  # the peer has reset the connection
             self.stream.close()
 
+    def _handle(self, data):
+        started_at = self.clock.now()
+        if self.state is ConnectionState.OPEN and (received := self.reader.receive(started_at, data)):
+            self.on_messages(self, received)
+        self.allowance.charge(started_at, self.clock.now())
+
     async def _read(self):
         try:
             while True:
-                data = await self.stream.read_bytes(READ_CHUNK_BYTES, partial=True)
-                self.may_have_buffered_input = len(data) == READ_CHUNK_BYTES
-                if self.state is ConnectionState.OPEN and (
-                    received := self.reader.receive(self.clock.now(), data)
-                ):
-                    self.on_messages(self, received)
+                if self.allowance.is_used_up(self.clock.now()):
+                    await self.turns.next_turn()
+                data = await self.stream.read_bytes(BATCH_BYTES, partial=True)
+                self.may_have_buffered_input = len(data) == BATCH_BYTES
+                self._handle(data)
         except StreamClosedError:
             pass
         except MessageFramingError as error:
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -9,6 +9,7 @@
 
 from terndrift.core.active_playback import AnswerKind, PlaybackRequest, PlaybackStage
 from terndrift.core.admission import AdmissionGate
+from terndrift.input_turns import InputTurns
 from terndrift.platform import message as m
 from terndrift.platform.connection import Connection, new_stream
 from terndrift.platform.listener import Listener
@@ -67,6 +68,7 @@
         self.deadlines, self.layout = configuration.deadlines, configuration.layout
         self.rung_count = len(configuration.deployment.ladder.rates)
         self.max_connections = configuration.descriptors.max_viewer_connections
+        self.input_turns = InputTurns()
         self.listener = Listener(self._on_accepted, self._close_unused, log)
         self.connections = {}  # Connection -> {ID: ViewerSession} of its open set-ups, in order of arrival
         self.playback_counts = {}  # Connection -> number of its playbacks
@@ -89,7 +91,7 @@
             sock.close()
             return
         connection = Connection(
-            new_stream(sock), self.runner.clock, self._on_messages, self._connection_closed
+            new_stream(sock), self.runner.clock, self.input_turns, self._on_messages, self._connection_closed
         )
         self.connections[connection], self.playback_counts[connection] = {}, 0
 
--- a/terndrift/platform/transport.py
+++ b/terndrift/platform/transport.py
@@ -10,6 +10,7 @@
 from tornado.ioloop import IOLoop
 
 from terndrift.http.client import NotTaken, Unreached, connect
+from terndrift.input_turns import InputTurns
 from terndrift.interface import Ending, Standing
 from terndrift.platform import message as m
 from terndrift.platform.attempt import Attempt, AttemptState
@@ -67,6 +68,7 @@
         self.runner, self.configuration, self.log = runner, configuration, log
         self.peers, self.attempts = {}, {}  # streamer ID -> Peer; ActivePlayback -> Attempt
         self.cancelled = {}  # playback ID -> cancelled Attempt that may still be outstanding
+        self.input_turns = InputTurns()
         self.start_queue = []  # attempts to start in the next turn of the event loop
         self.on_ended, self.closing = lambda playback, by_viewer: None, False
         self.replaced_timeout_ns = REPLACED_TIMEOUT_NS
@@ -220,6 +222,7 @@
         connection = Connection(
             stream,
             self.runner.clock,
+            self.input_turns,
             lambda source, received: [self._on_message(peer, source, message) for message in received],
             lambda source: self._connection_closed(peer, source),
             PARTIAL_MESSAGE_TIMEOUT_NS,
--- /dev/null
+++ b/tests/test_fair_input.py
@@ -0,0 +1,101 @@
+"""Much input on one connection neither delays what others send nor outlives the connection."""
+
+import asyncio
+import contextlib
+import subprocess
+import sys
+
+import pytest
+from platform_testbed import in_testbed
+from testbed import wait_until
+
+from terndrift.input_turns import BURST_NS, SUSTAINED_SHARE, InputAllowance, InputTurns
+from terndrift.platform import message as m
+from terndrift.platform.message import encode_message
+
+# A set-up is answered within its plan's start-up target (600 ms in the settings of the testbed).
+START_UP_TARGET_S = 0.6
+
+
+# Sends a message over and over on a connection, as fast as it is read, and discards what comes back.
+FLOODING_CLIENT = """
+import select, socket, sys
+sock = socket.create_connection((sys.argv[1], int(sys.argv[2])))
+sock.setblocking(False)
+data = bytes.fromhex(sys.argv[3]) * 1000
+while True:
+    readable, writable, _ = select.select([sock], [sock], [])
+    if readable and not sock.recv(1 << 20):
+        break
+    if writable:
+        sock.send(data)
+"""
+
+
+@contextlib.contextmanager
+def flooding_clients(testbed, count, message):
+    """Runs processes that send a message at full speed, each on one connection."""
+    host, port = testbed.service.address
+    command = [sys.executable, "-c", FLOODING_CLIENT, host, str(port), message.hex()]
+    processes = [subprocess.Popen(command) for _ in range(count)]
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+
+
+@pytest.mark.parametrize("message_type", [m.TEST, m.RELEASE], ids=["tests", "releases"])
+def test_set_up_is_answered_in_time_while_other_clients_send_at_full_speed(message_type):
+    # Guards against: a connection whose input never ends was read without a turn for any other.
+    async def test(testbed):
+        viewer = await testbed.viewer()
+        with flooding_clients(testbed, 3, encode_message(message_type, b"flooding", (m.CAUSE, b"\0"))):
+            await wait_until(lambda: len(testbed.service.front.connections) == 4)
+            for _ in range(10):
+                await asyncio.wait_for(testbed.set_up_playback(viewer), START_UP_TARGET_S)
+                await asyncio.sleep(0.05)
+
+    in_testbed(test)()
+
+
+def test_turns_are_given_one_per_iteration_in_the_order_of_the_requests():
+    async def test():
+        turns, given = InputTurns(), []
+
+        async def take(name):
+            for _ in range(2):
+                await turns.next_turn()
+                given.append(name)
+
+        tasks = [asyncio.ensure_future(take(name)) for name in "abc"]
+        iterations = 0
+        while not all(task.done() for task in tasks):
+            before = len(given)
+            await asyncio.sleep(0)
+            iterations += 1
+            assert len(given) - before <= 1
+        assert "".join(given) == "abcabc"
+
+    asyncio.run(test())
+
+
+def test_cancelled_request_for_a_turn_holds_up_no_other():
+    async def test():
+        turns = InputTurns()
+        first, second = (asyncio.ensure_future(turns.next_turn()) for _ in range(2))
+        await asyncio.sleep(0)
+        first.cancel()
+        await asyncio.wait_for(second, 1)
+
+    asyncio.run(test())
+
+
+def test_allowance_is_used_up_by_processing_time_and_comes_back():
+    allowance = InputAllowance(0)
+    allowance.charge(0, BURST_NS)
+    assert not allowance.is_used_up(BURST_NS)
+    allowance.charge(BURST_NS, 3 * BURST_NS)
+    assert allowance.is_used_up(3 * BURST_NS)
+    assert not allowance.is_used_up(3 * BURST_NS + int(2 * BURST_NS / SUSTAINED_SHARE))
