SIP: requests under ever new names no longer take all transactions

Seen: after 20,000 requests of one client within 64 T1 (some 620 a second) every other client is answered 503; the process grew from 38 to 106 MB in 6 s.

Cause: each answered request was kept for 64 T1 to answer it once more, and counted among the server transactions; one source could have all of them.

Change: at most 2,000 answered requests other than INVITE are kept, the oldest go first; they need no timer of their own. The others are admitted by the gate of the HTTP front, which leaves room beside one source. Its advice when to come back takes the place of 2 s.

Measured: the two tests failed before (no bound; 40 of 40 transactions for one source) and pass.

--- a/terndrift/sip/stack.py
+++ b/terndrift/sip/stack.py
@@ -13,18 +13,26 @@
 
 import heapq
 import itertools
+from collections import OrderedDict
 
+from terndrift.core.admission import AdmissionGate
 from terndrift.sip.message import MAGIC, Bad, Via, response
 from terndrift.sip.transaction import ClientInvite, ClientOther, ServerInvite, ServerOther, State, cancel_of
 
-# Server transactions held at once: a request over that is answered 503 without one.
+SECOND = 1_000_000_000
+# Server transactions held at once that are not completed, in all; one source may have a part of them. A
+# request over that is answered 503 without one.
 MOST = 20_000
+# Completed server transactions of other requests than INVITE, kept to answer a request that is sent again.
+# The oldest goes for one more: such a request is then taken for a new one.
+MAX_COMPLETED = 2_000
 
 
 class Transaction:
     def __init__(self, key, machine, peer):
-        self.key, self.machine, self.peer = key, machine, peer
+        self.key, self.machine, self.peer, self.source = key, machine, peer, peer.address
         self.owner = None  # whoever started it, or answers it
+        self.admitted = False  # whether it counts among the server transactions held
 
     @property
     def request(self):
@@ -39,8 +47,10 @@
     """`out` gathers (peer, bytes) to be sent; whoever drives this takes them after each call. `sent_by`:
     host and port for our Via. `draw(n)`: n bytes of chance, for branches."""
 
-    def __init__(self, times, sent_by, draw, most=MOST):
-        self.times, self.sent_by, self.draw, self.most = times, sent_by, draw, most
+    def __init__(self, times, sent_by, draw, most=MOST, max_completed=MAX_COMPLETED):
+        self.times, self.sent_by, self.draw, self.max_completed = times, sent_by, draw, max_completed
+        self.admission = AdmissionGate(most)
+        self.completed = OrderedDict()  # Transaction -> None, the one to end first first
         self.servers, self.clients, self.out = {}, {}, []
         self.timers, self.numbers = [], itertools.count()
         self.counts = {"dropped": 0, "absorbed": 0, "bad": 0}
@@ -91,12 +101,14 @@
             return [("ack", None, message)]
         if message.method == "CANCEL":
             return self._cancel(now, message, peer)
-        if len(self.servers) >= self.most:
-            reply = response(message, 503, tag=self.draw(4).hex(), headers=[("retry-after", 2)])
+        if wait := self.admission.admit(now, peer.address):
+            headers = [("retry-after", -(-wait // SECOND))]
+            reply = response(message, 503, tag=self.draw(4).hex(), headers=headers)
             self.out.append((peer, reply.encode()))
             return []
         kind = ServerInvite if message.method == "INVITE" else ServerOther
         t = self.servers[key] = Transaction(key, kind(message, self.times, peer.reliable), peer)
+        t.admitted = True
         return self._did(now, t, t.machine.start(now))
 
     def _cancel(self, now, message, peer):
@@ -166,7 +178,10 @@
     def next_at(self):
         while self.timers and self._stale(self.timers[0]):
             heapq.heappop(self.timers)
-        return self.timers[0][0] if self.timers else None
+        times = [self.timers[0][0]] if self.timers else []
+        if self.completed:
+            times.append(next(iter(self.completed)).machine.next_at())
+        return min(times, default=None)
 
     @staticmethod
     def _stale(entry):
@@ -176,10 +191,26 @@
     def tick(self, now):
         events = []
         while (at := self.next_at()) is not None and at <= now:
-            _, _, t = heapq.heappop(self.timers)
+            if self.timers and self.timers[0][0] == at:
+                _, _, t = heapq.heappop(self.timers)
+            else:
+                t = next(iter(self.completed))
             events += self._did(now, t, t.machine.tick(now))
         return events
 
+    def _released(self, now, t):
+        """A server transaction is completed or over: it does not count among those held any more."""
+        if t.admitted:
+            t.admitted = False
+            self.admission.release(now, t.source)
+
+    def _keep_completed(self, now, t):
+        self._released(now, t)
+        self.completed[t] = None
+        if len(self.completed) > self.max_completed:
+            oldest, _ = self.completed.popitem(last=False)
+            del self.servers[oldest.key]
+
     def _did(self, now, t, actions):
         """Carries out what a machine says; returns the events."""
         events, client = [], isinstance(t.machine, ClientInvite | ClientOther)
@@ -194,6 +225,11 @@
                 events.append(("ack" if value.method == "ACK" else "request", t, value))
         if t.over:
             (self.clients if client else self.servers).pop(t.key, None)
+            self.completed.pop(t, None)
+            self._released(now, t)
+        elif isinstance(t.machine, ServerOther) and t.machine.state is State.COMPLETED:
+            if t not in self.completed:
+                self._keep_completed(now, t)
         elif (at := t.machine.next_at()) is not None:
             heapq.heappush(self.timers, (at, next(self.numbers), t))
         return events
