SIP: what one client sends at full speed no longer delays the others

Seen: while one client sent OPTIONS under ever new names over UDP, 12 of 35 requests of others had no answer within 4 s, sent again as RFC 3261 says; the others took 1.5 s in the median.

Cause: one datagram was read per iteration of the event loop, so that the socket's buffer was full of one sender's and the others' were lost there. A stream was read 64 KB at a time without a turn between buffered reads.

Change: the socket is emptied before each datagram that is handled, and senders are served in turn (FairQueue: 64 datagrams of each at most). Streams are handled 4 KB at a time and await turns as the platform's connections do.

--- a/terndrift/sip/wire.py
+++ b/terndrift/sip/wire.py
@@ -6,6 +6,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from terndrift.input_turns import InputAllowance, InputTurns
+from terndrift.sip.datagrams import DatagramSocket
 from terndrift.sip.message import Bad, Stream, read
 
 SECOND = 1_000_000_000
@@ -15,6 +17,8 @@
 TRIES = 50
 # Streams at once, and how long one may say nothing before it has said a whole message.
 STREAMS, IDLE = 1000, 300.0
+# Bytes read from a stream at once, and those whose messages are handled at once, a few messages.
+READ_CHUNK_BYTES, BATCH_BYTES = 64 * 1024, 4 * 1024
 # Media servers with a socket of their own; over that the one not called for longest loses its.
 LINES = 512
 
@@ -46,7 +50,7 @@
         return hash(self.address)
 
     def send(self, data):
-        self.wire.transport.sendto(data, self.address)
+        self.wire.datagrams.send(data, self.address)
 
 
 class Line(Udp):
@@ -100,39 +104,33 @@
         self.stream = stream
 
     def send(self, data):
-        if not self.stream.closed():
-            # its end is seen where it is read
-            asyncio.ensure_future(_quietly(self.stream.write(data)))
-
-
-async def _quietly(write):
-    try:
-        await write
-    except StreamClosedError:
-        return
+        try:
+            self.stream.write(data)
+        except StreamClosedError:  # its end is seen where it is read
+            return
 
 
-class Wire(asyncio.DatagramProtocol):
+class Wire:
     """Both transports on one address. `do(call, *args)` runs a call of the bridge, sends what came of it."""
 
     def __init__(self, clock, log):
         self.clock, self.log = clock, log
-        self.bridge, self.transport, self.server, self.timer = None, None, None, None
+        self.bridge, self.datagrams, self.server, self.timer = None, None, None, None
+        self.input_turns = InputTurns()
         self.streams, self.lines = set(), {}  # lines: address of a media server -> Line
 
     async def listen(self, listen):
         """Returns host and port: one for both transports, of the system's choice if 0. Raises OSError."""
         host, _, port = listen.rpartition(":")
-        loop = asyncio.get_running_loop()
         for left in range(TRIES, -1, -1):
-            self.transport, _ = await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
-            at = self.transport.get_extra_info("sockname")
+            self.datagrams = DatagramSocket((host, int(port)), LARGEST, self._datagram_received)
+            at = self.datagrams.address
             self.server = _Server(self)
             try:
                 self.server.listen(at[1], host)
                 break
             except OSError:
-                self.transport.close()
+                self.datagrams.close()
                 if int(port) or not left:
                     raise
         return host, at[1]
@@ -177,10 +175,10 @@
         self.timer = None
         self.do(self.bridge.tick)
 
-    def datagram_received(self, data, addr):
+    def _datagram_received(self, data, address):
         if len(data) <= 4 or len(data) > LARGEST:  # a keep-alive (RFC 5626)
             return
-        self.take(data, Udp(self, addr))
+        self.take(data, Udp(self, address))
 
     def take(self, data, peer):
         try:
@@ -195,9 +193,6 @@
         except Exception as fault:  # one message must not end the front
             self.log.error("fault of the SIP front", source=peer.source, exc_info=fault)
 
-    def error_received(self, exc):
-        pass  # told for some datagram sent earlier; the transaction's own time-out decides
-
     def close(self):
         if self.timer is not None:
             self.timer.cancel()
@@ -207,13 +202,13 @@
             line.close()
         for stream in list(self.streams):
             stream.close()
-        if self.transport is not None:
-            self.transport.close()
+        if self.datagrams is not None:
+            self.datagrams.close()
 
 
 class _Server(TCPServer):
     def __init__(self, wire):
-        super().__init__()
+        super().__init__(max_buffer_size=2 * READ_CHUNK_BYTES, read_chunk_size=READ_CHUNK_BYTES)
         self.wire = wire
 
     async def handle_stream(self, stream, address):
@@ -222,11 +217,16 @@
             stream.close()
             return
         wire.streams.add(stream)
+        allowance = InputAllowance(wire.clock.now())
         try:
             while True:
-                data = await asyncio.wait_for(stream.read_bytes(64 * 1024, partial=True), IDLE)
+                if allowance.is_used_up(wire.clock.now()):
+                    await wire.input_turns.next_turn()
+                data = await asyncio.wait_for(stream.read_bytes(BATCH_BYTES, partial=True), IDLE)
+                started_at = wire.clock.now()
                 for found in reader.feed(data):
                     wire.received(found, peer)
+                allowance.charge(started_at, wire.clock.now())
         except (StreamClosedError, TimeoutError, Bad):
             stream.close()
         finally:
--- a/tests/test_sip_limits.py
+++ b/tests/test_sip_limits.py
@@ -1,11 +1,33 @@
 """What one SIP client sends neither delays the answers to others nor makes the process grow without end."""
 
+import asyncio
+import contextlib
+import socket
+import subprocess
+import sys
+
 from sipnet import TIMES, drawing
+from test_sip_front import SIP
+from testbed import in_testbed
 
+from terndrift.fair_queue import MAX_ITEMS_PER_SOURCE, MAX_SOURCES, FairQueue
 from terndrift.sip.message import Message, read, response
-from terndrift.sip.stack import Stack
+from terndrift.sip.stack import MAX_COMPLETED, Stack
 from terndrift.standin.phone import Peer
 
+MS = 1_000_000
+T1_S = 0.5  # after which a client sends a request again over UDP (RFC 3261)
+FLOODED_S = 2.0
+# Sends OPTIONS requests under ever new names at full speed over UDP.
+FLOODING_CLIENT = """
+import socket, sys
+sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+address, request, number = (sys.argv[1], int(sys.argv[2])), sys.argv[3].encode(), 0
+while True:
+    number += 1
+    sock.sendto(request.replace(b"NAME", b"%d" % number), address)
+"""
+
 
 def options_request(name, transport="UDP"):
     """An OPTIONS request; `name` makes its branch, tag and Call-ID."""
@@ -64,3 +86,53 @@
     assert refused.count(False) == 20
     new, codes = stack.answered(0, invite_request("b"), "b:1")
     assert new and codes != [503]
+
+
+def test_queue_serves_sources_in_turn_and_drops_what_is_too_much():
+    queue = FairQueue()
+
+    def put_if_there_is_room(source, item):
+        if queue.has_room(source):
+            queue.put(source, item)
+
+    for number in range(MAX_ITEMS_PER_SOURCE + 5):
+        put_if_there_is_room("a", number)
+    put_if_there_is_room("b", 0)
+    assert queue.dropped_count == 5
+    assert [queue.take() for _ in range(3)] == [("a", 0), ("b", 0), ("a", 1)]
+    for number in range(MAX_SOURCES + 5):
+        put_if_there_is_room(number, 0)
+    assert len(queue.by_source) == MAX_SOURCES
+    while queue:
+        queue.take()
+
+
+async def answer_to(request, address):
+    """Sends a request over UDP as a client does (RFC 3261, 17.1.2), again after 0.5, 1.5 and 3.5 s; returns
+    the answer, or None within 4 s."""
+    loop = asyncio.get_running_loop()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.setblocking(False)
+        sock.connect(address)
+        for wait in (T1_S, 2 * T1_S, 4 * T1_S, T1_S):
+            sock.send(request)
+            with contextlib.suppress(TimeoutError):
+                return await asyncio.wait_for(loop.sock_recv(sock, 4096), wait)
+    return None
+
+
+@in_testbed(extra_settings=SIP)
+async def test_others_are_answered_while_one_client_sends_datagrams_at_full_speed(testbed):
+    # Guards against: datagrams of others were lost in the socket's buffer, which one sender had filled.
+    host, port = testbed.service.sip_address.split(":")
+    flood = options_request("NAME").encode().decode()
+    process = subprocess.Popen([sys.executable, "-c", FLOODING_CLIENT, host, port, flood])
+    try:
+        await asyncio.sleep(FLOODED_S)
+        requests = [options_request(f"other{number}").encode() for number in range(10)]
+        for request in requests:
+            assert (await answer_to(request, (host, int(port)))).startswith(b"SIP/2.0 200 ")
+    finally:
+        process.kill()
+        process.wait()
+    assert len(testbed.service.sip.wire.bridge.stack.servers) <= MAX_COMPLETED
