SIP: a client that does not read its answers is disconnected

Seen: one client that sent requests over TCP and read no answer made the process grow from 38 to 88 MB in 10 s, still growing.

Cause: what is written to a stream had no limit.

Change: over 256 KB unsent the stream is closed, as on the platform.

Measured: the same play for 8 s: 39 MB. The test failed before (64 MB taken without a close).

--- a/terndrift/sip/wire.py
+++ b/terndrift/sip/wire.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from tornado.iostream import StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 from tornado.tcpserver import TCPServer
 
 from terndrift.input_turns import InputAllowance, InputTurns
@@ -19,6 +19,8 @@
 STREAMS, IDLE = 1000, 300.0
 # Bytes read from a stream at once, and those whose messages are handled at once, a few messages.
 READ_CHUNK_BYTES, BATCH_BYTES = 64 * 1024, 4 * 1024
+# Bytes that may be queued for a caller's stream; one who does not read is disconnected.
+MAX_UNSENT_BYTES = 256 * 1024
 # Media servers with a socket of their own; over that the one not called for longest loses its.
 LINES = 512
 
@@ -106,6 +108,8 @@
     def send(self, data):
         try:
             self.stream.write(data)
+        except StreamBufferFullError:
+            self.stream.close()
         except StreamClosedError:  # its end is seen where it is read
             return
 
@@ -217,6 +221,7 @@
             stream.close()
             return
         wire.streams.add(stream)
+        stream.max_write_buffer_size = MAX_UNSENT_BYTES
         allowance = InputAllowance(wire.clock.now())
         try:
             while True:
--- a/tests/test_sip_limits.py
+++ b/tests/test_sip_limits.py
@@ -136,3 +136,20 @@
         process.kill()
         process.wait()
     assert len(testbed.service.sip.wire.bridge.stack.servers) <= MAX_COMPLETED
+
+
+@in_testbed(extra_settings=SIP)
+async def test_client_that_does_not_read_its_answers_is_disconnected(testbed):
+    # Guards against: answers that a client does not read were kept in memory without a limit.
+    host, port = testbed.service.sip_address.split(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.setblocking(False)
+        loop, sent = asyncio.get_running_loop(), 0
+        requests = b"".join(options_request(f"c{n}", "TCP").encode() for n in range(100))
+        try:
+            while sent < 64 * 1024 * 1024:
+                await asyncio.wait_for(loop.sock_sendall(sock, requests), 10)
+                sent += len(requests)
+        except ConnectionError:
+            sent = None
+    assert sent is None
