A refused connection puts in doubt whether the streamer's process is still the old one

Cause: a connection that comes up within 1.25 reports of the last sign of life was taken to lead to the same process, as a restart was held to take longer. That the connection before it was refused was forgotten as soon as one came up.

Change: a refused connection while none is open ends that assumption.

The test failed before (not told within 3 s with its time limit at 0) and passes; a second test keeps a playback whose process speaks about it. A process that listens before the first connection is tried is still taken for the old one.

--- a/terndrift/platform/process_evidence.py
+++ b/terndrift/platform/process_evidence.py
@@ -85,6 +85,15 @@
             other.process_since = min(other.process_since, speaker.process_since)
         self.last_speaker = _TrackedConnection(speaker.process_since, now)
 
+    def connection_refused(self):
+        """Takes account of a refused connection: no process listened.
+
+        A process that still has connections refuses one for want of room. Without any, the one that spoke
+        last may have ended, so a connection that comes up does not vouch for what was set up before.
+        """
+        if not self.connections:
+            self.last_speaker = None
+
     def witness(self):
         """Returns the connection whose process has been running for longest, None if nothing plays."""
         if not self.playbacks:
--- a/terndrift/platform/transport.py
+++ b/terndrift/platform/transport.py
@@ -212,6 +212,9 @@
         try:
             stream = new_stream()
             await connect(stream, peer.address, self.configuration.connect_timeout / SECOND)
+        except NotTaken:
+            peer.evidence.connection_refused()
+            raise
         except OSError as error:  # no descriptor is left
             raise ConnectionLimitError(str(error)) from None
         finally:
--- a/tests/test_replaced_streamer.py
+++ b/tests/test_replaced_streamer.py
@@ -61,6 +61,42 @@
     assert later_id in testbed.service.front.sessions
 
 
+async def restart_within_retries(testbed, streamer):
+    """The process of a streamer dies, and a new one listens before a second connection to it is tried."""
+    await streamer.crash()
+    await wait_until(lambda: any(event == "streamer not reached" for _, event, _ in testbed.log_lines))
+    await streamer.start()
+    await wait_until(lambda: streamer.connections)
+
+
+@in_testbed(streamers=1, reports_every_ms=200)
+async def test_playback_is_released_if_a_new_process_is_there_after_one_refused_connection(testbed):
+    # Guards against: a process that came up at once at the address of a dead one was taken for that one.
+    shorten_timeout(testbed)
+    viewer, later_viewer = await testbed.viewer(), await testbed.viewer()
+    id, streamer = await testbed.set_up_playback(viewer)
+    await restart_within_retries(testbed, streamer)
+    later_id, _ = await testbed.set_up_playback(later_viewer)
+    ended = asyncio.ensure_future(assert_released(viewer, id, 3))
+    while not ended.done():
+        streamer.note(later_id)
+        await asyncio.sleep(0.05)
+    await ended
+    assert later_id in testbed.service.front.sessions
+
+
+@in_testbed(streamers=1, reports_every_ms=200)
+async def test_playback_goes_on_if_its_process_speaks_about_it_after_a_refused_connection(testbed):
+    shorten_timeout(testbed)
+    viewer = await testbed.viewer()
+    id, streamer = await testbed.set_up_playback(viewer)
+    await restart_within_retries(testbed, streamer)
+    for _ in range(20):
+        streamer.note(id)
+        await asyncio.sleep(0.05)
+    assert id in testbed.service.front.sessions
+
+
 @in_testbed(streamers=1, reports_every_ms=200)
 async def test_playback_is_released_if_an_outage_shows_only_by_the_reset_of_a_connection(testbed):
     # Guards against: a connection made after a reset counted as a sign that older playbacks go on.
