Set-ups that wait for unread input are not held against their streamers

Seen: one client sent set-ups under ever new IDs and titles at full speed on one connection: 49 of 53 set-ups of others were refused after 2.0 s, also 10 s after the last of its own had ended, though the streamers had room.

Cause: an attempt that waits for its client's input was called off at its timeout like one that a silent streamer does not answer. Some 230 of those made all streamers count as failed, and each got one try at a time.

Change: such an attempt is given up as never sent at half its time. A connection whose input was not read to its end for 1 s gets its set-ups rejected with advice, and those of which nothing was sent, too.

The test (set-ups) failed before and passes.

--- a/terndrift/platform/attempt.py
+++ b/terndrift/platform/attempt.py
@@ -27,11 +27,13 @@
     """A set-up attempt for `playback` at `peer`.
 
     `session` is the front's ViewerSession of the playback; `deadline` is the time, in ns of the runner's
-    clock, after which a set-up is of no use.
+    clock, after which a set-up is of no use. `input_deadline` is half-way there: until then the attempt may
+    wait for input of its viewer to be read.
     """
 
-    def __init__(self, playback, peer, rung, deadline):
-        self.playback, self.peer, self.rung, self.deadline = playback, peer, rung, deadline
+    def __init__(self, playback, peer, rung, now, timeout):
+        self.playback, self.peer, self.rung = playback, peer, rung
+        self.deadline, self.input_deadline = now + timeout, now + timeout // 2
         self.session = playback.request.context
         self.id = self.session.id
         self.state = AttemptState.CONNECTING
--- a/terndrift/platform/connection.py
+++ b/terndrift/platform/connection.py
@@ -77,6 +77,7 @@
         self.turns, self.allowance = turns, InputAllowance(clock.now())
         self.last_sent_at, self.last_probe_at = clock.now(), 0
         self.closed_unused = False  # closed by `close_unused`: nothing that the peer sent before was lost
+        self.unread_since = None  # since when its input was never read to the end, None if it is
         self.may_have_buffered_input = False  # a full batch may have left bytes in the stream's buffer
         stream.set_nodelay(True)
         self.task = asyncio.ensure_future(self._read())
@@ -100,6 +101,10 @@
         poll.register(self.stream.socket, select.POLLIN)
         return bool(poll.poll(0))
 
+    def input_lag(self):
+        """Returns for how long (ns) its input has not been read to the end."""
+        return 0 if self.unread_since is None else self.clock.now() - self.unread_since
+
     def has_pending_input(self):
         """Whether received bytes are still to be read, or belong to a message that is not complete yet."""
         return self.reader.partial_since is not None or self.has_unread_input()
@@ -176,6 +181,14 @@
             self.on_messages(self, received)
         self.allowance.charge(started_at, self.clock.now())
 
+    def _note_unread_input(self):
+        """Notes since when there has been more input than was read; asked only where there is much of it."""
+        now = self.clock.now()
+        if not (self.allowance.is_used_up(now) and self.has_unread_input()):
+            self.unread_since = None
+        elif self.unread_since is None:
+            self.unread_since = now
+
     async def _read(self):
         try:
             while True:
@@ -184,6 +197,7 @@
                 data = await self.stream.read_bytes(BATCH_BYTES, partial=True)
                 self.may_have_buffered_input = len(data) == BATCH_BYTES
                 self._handle(data)
+                self._note_unread_input()
         except StreamClosedError:
             pass
         except MessageFramingError as error:
--- a/terndrift/platform/front.py
+++ b/terndrift/platform/front.py
@@ -32,6 +32,11 @@
 RELEASE_RETENTION_NS = 8 * SECOND
 
 
+# ns for which the input of a connection may stay ahead of what is read. A set-up starts only once the input
+# is read; with more of it all the time, it would take room at a streamer until its deadline for nothing.
+MAX_INPUT_LAG_NS = SECOND
+
+
 class ViewerSession:
     """A set-up or playback as its viewer knows it; the core gets it as `PlaybackRequest.context`.
 
@@ -189,6 +194,10 @@
         if self.closing:
             self._send_rejection(connection, message.id, self.runner.core.controller.retry_advice)
             return
+        if connection.input_lag() > MAX_INPUT_LAG_NS:
+            self._reject_unsent_set_ups(connection)
+            self._send_rejection(connection, message.id, self.admission.retry_after(now))
+            return
         if retry_after := self.admission.admit(now, connection):
             self._send_rejection(connection, message.id, retry_after)
             return
@@ -201,6 +210,14 @@
             lambda answer: self._on_answer(session, answer),
         )
 
+    def _reject_unsent_set_ups(self, connection):
+        """Rejects the open set-ups of a connection of which no streamer has received anything."""
+        for session in list(self.connections[connection].values()):
+            if self.transport.is_unsent(session.playback):
+                self._cancel_set_up(session)
+                retry_after = self.admission.retry_after(self.runner.clock.now())
+                self._send_rejection(connection, session.id, retry_after)
+
     def _wanted(self, session, request):
         top_rung = min(
             request.top_rung, self.configuration.deployment.plans[request.plan].top, self.rung_count - 1
--- a/terndrift/platform/transport.py
+++ b/terndrift/platform/transport.py
@@ -107,7 +107,7 @@
     def set_up(self, playback, streamer, rung, timeout):
         """Starts an attempt; its set-up is not sent any more once `timeout` ns have passed."""
         peer = self.peers.get(streamer.id)
-        attempt = self.attempts[playback] = Attempt(playback, peer, rung, self.runner.clock.now() + timeout)
+        attempt = self.attempts[playback] = Attempt(playback, peer, rung, self.runner.clock.now(), timeout)
         if peer is None:
             return self._attempt_over(attempt, Ending.UNREACHED)
         self._queue_start(attempt)
@@ -127,6 +127,13 @@
         self.cancelled[attempt.id] = attempt
         return self._attempt_over_later(attempt, Ending.CALLED_OFF)
 
+    def is_unsent(self, playback):
+        """Whether no attempt of a playback has been sent to any streamer so far."""
+        attempt = self.attempts.get(playback)
+        if attempt is None:
+            return playback.attempts == 0
+        return attempt.state is AttemptState.CONNECTING and playback.attempts <= 1
+
     def set_rung(self, playback, rung):
         """Tells the streamer to play at another rung."""
         if peer := self.peers.get(playback.streamer.id):
@@ -260,6 +267,9 @@
                     READ_TURNS if loop_was_late or attempt.session.has_unread_input() else 0
                 )
             if attempt.remaining_turns == 0 and self._awaits_input(attempt, unread):
+                if self.runner.clock.now() >= attempt.input_deadline:
+                    self._attempt_over(attempt, Ending.NEVER_SENT)
+                    continue
                 attempt.remaining_turns = READ_TURNS
             if attempt.remaining_turns > 0:
                 attempt.remaining_turns -= 1
@@ -275,12 +285,13 @@
         """Whether an attempt has to wait until the input of its viewer's connection is read.
 
         That may take many turns if there is much of it, and the cancel of the attempt, or the end of the
-        connection, may be at its end. The attempt is of no use any more after its deadline.
+        connection, may be at its end. The attempt is given up in time, so that it is not held against its
+        streamer that it says nothing.
         """
         connection = attempt.session.connection
         if connection not in unread:
             unread[connection] = connection.has_unread_input()
-        return unread[connection] and self.runner.clock.now() < attempt.deadline
+        return unread[connection]
 
     async def _connect(self, attempt):
         """Opens a connection for an attempt and queues the attempt again."""
