--- a/tests/test_fair_input.py
+++ b/tests/test_fair_input.py
@@ -66,10 +66,10 @@
 def test_set_up_is_answered_in_time_while_other_clients_send_at_full_speed(message):
     # Guards against: a connection whose input never ends was read without a turn for any other.
     async def test(testbed):
-        viewer = await testbed.viewer()
         with flooding_clients(testbed, 3, message):
-            await wait_until(lambda: len(testbed.service.front.connections) == 4)
+            await wait_until(lambda: len(testbed.service.front.connections) == 3)
             await asyncio.sleep(FLOODED_S)
+            viewer = await testbed.viewer()  # not before: the front closes what is idle for 2 s
             for _ in range(5):
                 await asyncio.wait_for(testbed.set_up_playback(viewer), START_UP_TARGET_S)
                 await asyncio.sleep(0.05)
